Add routes, engines of services and priorities of teams to the configuration

The users' platform leads requests by host and longest prefix to services, split by weight, with a timeout, objectives, attempts and a priority; the product knew only services by path. Routes are records like the others: checked, archived, spread in documents. Services may now have no path of their own.

--- a/pkg/configurator/applier.go
+++ b/pkg/configurator/applier.go
@@ -17,6 +17,9 @@
 	batches   *editor[Batch]
 	services  *editor[Service]
 	upstreams *editor[Upstream]
+	routes    *editor[Route]
+	// addresses are the names of routes by what no two of them share; nil until needed.
+	addresses map[string]string
 	// names are the names of the keys that this change makes.
 	names map[string]bool
 }
@@ -32,6 +35,7 @@
 		batches:   s.batches.edit(),
 		services:  s.services.edit(),
 		upstreams: s.upstreams.edit(),
+		routes:    s.routes.edit(),
 		names:     map[string]bool{},
 	}
 }
@@ -46,6 +50,7 @@
 	next.batches = a.batches.table
 	next.services = a.services.table
 	next.upstreams = a.upstreams.table
+	next.setRoutes(a.routes.table)
 	return &next
 }
 
@@ -70,7 +75,7 @@
 	count := 0
 	for _, set := range []bool{
 		o.Team != nil, o.Key != nil, o.Model != nil, o.Version != nil,
-		o.Adapter != nil, o.Batch != nil, o.Service != nil, o.Upstream != nil,
+		o.Adapter != nil, o.Batch != nil, o.Service != nil, o.Upstream != nil, o.Route != nil,
 	} {
 		if set {
 			count++
@@ -97,6 +102,8 @@
 		return putOnce(a.batches, KindBatch, operation.Batch.Name, *operation.Batch, create, a.checkBatch)
 	case operation.Service != nil:
 		return putRecord(a.services, KindService, operation.Service.Name, *operation.Service, create, a.checkService)
+	case operation.Route != nil:
+		return a.putRoute(*operation.Route, create)
 	}
 	return putRecord(a.upstreams, KindUpstream, operation.Upstream.Name, *operation.Upstream, create, a.checkUpstream)
 }
--- a/pkg/configurator/apply.go
+++ b/pkg/configurator/apply.go
@@ -57,6 +57,15 @@
 	return &next
 }
 
+// At returns the snapshot at a revision, without acts, for a configuration whose
+// revisions others count.
+func (s *Snapshot) At(revision uint64) *Snapshot {
+	next := *s
+	next.revision = revision
+	next.acts = nil
+	return &next
+}
+
 func appendAct(acts []Act, change Change, revision uint64) []Act {
 	change.At = change.At.UTC().Round(0)
 	act := Act{
--- a/pkg/configurator/archive.go
+++ b/pkg/configurator/archive.go
@@ -24,6 +24,8 @@
 	Services []Service `json:"services"`
 	// Upstreams are all upstreams that operators described.
 	Upstreams []Upstream `json:"upstreams"`
+	// Routes are all routes.
+	Routes []Route `json:"routes"`
 	// Keys are all keys.
 	Keys []Key `json:"keys"`
 	// Withdrawals are all withdrawals.
@@ -41,6 +43,7 @@
 		Adapters:    slices.Collect(s.Adapters()),
 		Services:    slices.Collect(s.Services()),
 		Upstreams:   slices.Collect(s.Upstreams()),
+		Routes:      slices.Collect(s.Routes()),
 		Keys:        slices.Collect(s.Keys()),
 		Withdrawals: slices.Collect(s.withdrawals.All()),
 	}
@@ -84,6 +87,7 @@
 		wrap(slices.Values(a.Adapters), setAdapter),
 		wrap(slices.Values(a.Services), setService),
 		wrap(slices.Values(a.Upstreams), setUpstream),
+		wrap(slices.Values(a.Routes), setRoute),
 		wrap(slices.Values(a.Keys), setKey),
 	} {
 		for operation := range records {
--- a/pkg/configurator/change.go
+++ b/pkg/configurator/change.go
@@ -12,7 +12,7 @@
 	// ActionPut makes or replaces a record. Keys, versions and batches are
 	// never replaced: putting an equal one again does nothing.
 	ActionPut Action = "put"
-	// ActionRemove takes a team, model, adapter, service or upstream away.
+	// ActionRemove takes a team, model, adapter, service, upstream or route away.
 	ActionRemove Action = "remove"
 )
 
@@ -37,6 +37,8 @@
 	Service *Service `json:"service,omitempty"`
 	// Upstream is the upstream that the operation is about.
 	Upstream *Upstream `json:"upstream,omitempty"`
+	// Route is the route that the operation is about.
+	Route *Route `json:"route,omitempty"`
 }
 
 // Change is one act of an operator. It is applied whole or not at all.
--- a/pkg/configurator/check.go
+++ b/pkg/configurator/check.go
@@ -52,6 +52,12 @@
 	if !(team.Rate >= 0) || math.IsInf(team.Rate, 0) {
 		return invalid(KindTeam, team.Name, "rate", "must be zero or more")
 	}
+	if team.Priority < 0 {
+		return invalid(KindTeam, team.Name, "priority", "must be zero or more")
+	}
+	if team.Charge < 0 {
+		return invalid(KindTeam, team.Name, "charge", "must be zero or more")
+	}
 	if team.Burst < 0 {
 		return invalid(KindTeam, team.Name, "burst", "must be zero or more")
 	}
@@ -160,6 +166,9 @@
 	if err := checkName(KindService, service.Name); err != nil {
 		return err
 	}
+	if service.Path == "" {
+		return a.checkTeams(service.Teams)
+	}
 	if !strings.HasPrefix(service.Path, "/") {
 		return invalid(KindService, service.Name, "path", "must start with a slash")
 	}
--- a/pkg/configurator/describe.go
+++ b/pkg/configurator/describe.go
@@ -42,6 +42,8 @@
 		return KindService, *o.Service
 	case o.Upstream != nil:
 		return KindUpstream, *o.Upstream
+	case o.Route != nil:
+		return KindRoute, *o.Route
 	}
 	return "", nil
 }
--- a/pkg/configurator/difference.go
+++ b/pkg/configurator/difference.go
@@ -29,6 +29,7 @@
 	found = diffTables(found, KindBatch, before.batches, after.batches)
 	found = diffTables(found, KindService, before.services, after.services)
 	found = diffTables(found, KindUpstream, before.upstreams, after.upstreams)
+	found = diffTables(found, KindRoute, before.routes, after.routes)
 	for i := range subjectOrder {
 		found = diffTables(found, kindWithdrawal, before.withdrawals.subjects[i], after.withdrawals.subjects[i])
 	}
--- a/pkg/configurator/document.go
+++ b/pkg/configurator/document.go
@@ -10,7 +10,7 @@
 
 // Documents lists the documents that a snapshot consists of, withdrawals aside.
 func (s *Snapshot) Documents() []Document {
-	documents := make([]Document, 0, 5*singleShard+versionShards+keyShards+adapterShards)
+	documents := make([]Document, 0, 6*singleShard+versionShards+keyShards+adapterShards)
 	add := func(name string, digest Digest) {
 		documents = append(documents, Document{
 			Name:   name,
@@ -25,6 +25,7 @@
 	s.batches.documents(add)
 	s.services.documents(add)
 	s.upstreams.documents(add)
+	s.routes.documents(add)
 	return documents
 }
 
@@ -69,6 +70,8 @@
 		return s.services
 	case KindUpstream:
 		return s.upstreams
+	case KindRoute:
+		return s.routes
 	}
 	return nil
 }
@@ -84,6 +87,11 @@
 			What: "document name " + name,
 		}
 	}
+	return s.decode(kind, place, data)
+}
+
+// decode exchanges the document at a place of a kind's table.
+func (s *Snapshot) decode(kind Kind, place int, data []byte) (err error) {
 	switch kind {
 	case KindTeam:
 		s.teams, err = s.teams.decode(place, data)
@@ -101,6 +109,8 @@
 		s.services, err = s.services.decode(place, data)
 	case KindUpstream:
 		s.upstreams, err = s.upstreams.decode(place, data)
+	case KindRoute:
+		err = s.replaceRoutes(place, data)
 	}
 	return err
 }
@@ -114,6 +124,15 @@
 	return nil
 }
 
+func (s *Snapshot) replaceRoutes(place int, data []byte) error {
+	routes, err := s.routes.decode(place, data)
+	if err != nil {
+		return err
+	}
+	s.setRoutes(routes)
+	return nil
+}
+
 // parseDocumentName splits a name as in "adapter.3f".
 func parseDocumentName(name string) (Kind, int, error) {
 	kind, number, ok := strings.Cut(name, ".")
--- a/pkg/configurator/errors.go
+++ b/pkg/configurator/errors.go
@@ -13,6 +13,7 @@
 	KindBatch    Kind = "batch"
 	KindService  Kind = "service"
 	KindUpstream Kind = "upstream"
+	KindRoute    Kind = "route"
 )
 
 // NotFound reports a record that does not exist.
--- a/pkg/configurator/records.go
+++ b/pkg/configurator/records.go
@@ -22,6 +22,8 @@
 		return wrap(s.Services(), setService)
 	case KindUpstream:
 		return wrap(s.Upstreams(), setUpstream)
+	case KindRoute:
+		return wrap(s.Routes(), setRoute)
 	}
 	return nil
 }
@@ -55,6 +57,8 @@
 
 func setUpstream(o *Operation, value *Upstream) { o.Upstream = value }
 
+func setRoute(o *Operation, value *Route) { o.Route = value }
+
 // setBareModel holds a model without its version, which need not exist yet.
 func setBareModel(o *Operation, value *Model) {
 	value.Version = ""
--- a/pkg/configurator/remove.go
+++ b/pkg/configurator/remove.go
@@ -11,15 +11,40 @@
 	case operation.Adapter != nil:
 		return removeRecord(a.adapters, KindAdapter, operation.Adapter.Name)
 	case operation.Service != nil:
-		return removeRecord(a.services, KindService, operation.Service.Name)
+		return a.removeService(operation.Service.Name)
 	case operation.Upstream != nil:
 		return removeRecord(a.upstreams, KindUpstream, operation.Upstream.Name)
+	case operation.Route != nil:
+		return a.removeRoute(operation.Route.Name)
 	}
 	return &Malformed{
 		What: "removal of a key, version or batch, which are withdrawn instead",
 	}
 }
 
+// removeService refuses while a route leads to the service.
+func (a *applier) removeService(name string) error {
+	for route := range a.routes.table.all() {
+		for _, target := range route.Targets {
+			if target.Service == name {
+				return &InUse{
+					Kind: KindService,
+					Name: name,
+					By:   "route " + route.Name,
+				}
+			}
+		}
+	}
+	return removeRecord(a.services, KindService, name)
+}
+
+func (a *applier) removeRoute(name string) error {
+	if old, ok := a.routes.table.get(named(name)); ok {
+		delete(a.taken(), old.address())
+	}
+	return removeRecord(a.routes, KindRoute, name)
+}
+
 func removeRecord[T record](e *editor[T], kind Kind, name string) error {
 	if !e.table.has(named(name)) {
 		return notFound(kind, name)
--- a/pkg/configurator/snapshot.go
+++ b/pkg/configurator/snapshot.go
@@ -33,12 +33,15 @@
 	batches     *table[Batch]
 	services    *table[Service]
 	upstreams   *table[Upstream]
+	routes      *table[Route]
+	paths       *routeIndex
 	withdrawals *Withdrawals
 }
 
 // Empty returns the configuration before the first change.
 func Empty() *Snapshot {
 	versions := newTable[Version](KindVersion, versionShards)
+	routes := newTable[Route](KindRoute, singleShard)
 	return &Snapshot{
 		teams:       newTable[Team](KindTeam, singleShard),
 		keys:        newTable[Key](KindKey, keyShards),
@@ -49,6 +52,8 @@
 		batches:     newTable[Batch](KindBatch, singleShard),
 		services:    newTable[Service](KindService, singleShard),
 		upstreams:   newTable[Upstream](KindUpstream, singleShard),
+		routes:      routes,
+		paths:       newRouteIndex(routes),
 		withdrawals: NewWithdrawals(),
 	}
 }
@@ -139,6 +144,23 @@
 	return records[best], true
 }
 
+// Route returns the route with the given name.
+func (s *Snapshot) Route(name string) (Route, bool) { return s.routes.get(named(name)) }
+
+// RouteFor returns the route of a request: among those of its host, else among
+// those of any host, the one with the longest prefix of the path.
+func (s *Snapshot) RouteFor(host, path string) (Route, bool) { return s.paths.get(host, path) }
+
+// setRoutes exchanges the routes in place; only those who make a snapshot may
+// call it.
+func (s *Snapshot) setRoutes(routes *table[Route]) {
+	if s.routes == routes {
+		return
+	}
+	s.routes = routes
+	s.paths = newRouteIndex(routes)
+}
+
 // Upstream returns what operators say of the upstream with the given name.
 func (s *Snapshot) Upstream(name string) (Upstream, bool) { return s.upstreams.get(named(name)) }
 
@@ -166,6 +188,9 @@
 // Upstreams yields all upstreams that operators described.
 func (s *Snapshot) Upstreams() iter.Seq[Upstream] { return s.upstreams.all() }
 
+// Routes yields all routes.
+func (s *Snapshot) Routes() iter.Seq[Route] { return s.routes.all() }
+
 // Withdrawals returns all withdrawals that were known.
 func (s *Snapshot) Withdrawals() *Withdrawals { return s.withdrawals }
 
--- a/pkg/configurator/types.go
+++ b/pkg/configurator/types.go
@@ -10,6 +10,16 @@
 	Rate float64 `json:"rate"`
 	// Burst is what the team may save up, in tokens.
 	Burst int64 `json:"burst"`
+	// Unlimited lifts the team's limit; rate and burst do not count then.
+	Unlimited bool `json:"unlimited,omitempty"`
+	// Charge is what a routed request that tells no tokens is charged, in tokens.
+	Charge int64 `json:"charge,omitempty"`
+	// Flat charges each routed request one, whatever tokens it tells.
+	Flat bool `json:"flat,omitempty"`
+	// Ranked is set if Priority goes before that of routes.
+	Ranked bool `json:"ranked,omitempty"`
+	// Priority is the rank of the team's requests; 0 goes first.
+	Priority int `json:"priority,omitempty"`
 }
 
 // Key lets its bearer call in the name of a team.
@@ -36,6 +46,12 @@
 	Replicas int `json:"replicas"`
 	// AdapterBytes is the memory set aside beside each copy for adapters, in bytes.
 	AdapterBytes int64 `json:"adapterbytes,omitempty"`
+	// Load is how long a load from the weight store takes.
+	Load time.Duration `json:"load,omitempty"`
+	// DiskLoad is how long a load from the engine's disk takes.
+	DiskLoad time.Duration `json:"diskload,omitempty"`
+	// MemoryLoad is how long a load from the engine's memory takes.
+	MemoryLoad time.Duration `json:"memoryload,omitempty"`
 	// BytesPerToken is the least number of prompt bytes in a token.
 	BytesPerToken float64 `json:"bytespertoken,omitempty"`
 }
@@ -80,7 +96,8 @@
 type Service struct {
 	// Name is what the platform's list calls it.
 	Name string `json:"name"`
-	// Path is the prefix of the paths that lead to it, as in "/crates/".
+	// Path is the prefix of the paths that lead to it, as in "/crates/"; empty
+	// if only routes do.
 	Path string `json:"path"`
 	// Teams may call it; empty means all teams.
 	Teams []string `json:"teams,omitempty"`
@@ -88,6 +105,27 @@
 	Open bool `json:"open,omitempty"`
 	// Once lists the methods whose calls must not run twice, as in "POST".
 	Once []string `json:"once,omitempty"`
+	// Connections is the number of connections that each of its instances takes
+	// from all callers together; zero means no bound.
+	Connections int `json:"connections,omitempty"`
+	// Engine is set if its instances run models.
+	Engine *Engine `json:"engine,omitempty"`
+}
+
+// Engine is what all engines of a service have in common.
+type Engine struct {
+	// Models are the names of the models that they may load.
+	Models []string `json:"models,omitempty"`
+	// Slots is the number of requests that one runs at once.
+	Slots int `json:"slots,omitempty"`
+	// Tokens is the memory of one for prompts and answers, in tokens.
+	Tokens int64 `json:"tokens,omitempty"`
+	// Bytes is the memory of one for models and adapters, in bytes.
+	Bytes int64 `json:"bytes,omitempty"`
+	// Adapters is the number of adapters that one holds at once.
+	Adapters int `json:"adapters,omitempty"`
+	// Loads is how many loads a second the weight store allows to all together.
+	Loads float64 `json:"loads,omitempty"`
 }
 
 // Upstream is what operators say of an upstream beyond the platform's list.
