--- a/internal/binder/binding.go
+++ b/internal/binder/binding.go
@@ -53,6 +53,7 @@
 	return &storer.Store{
 		Get:       b.get,
 		List:      b.list,
+		Scan:      b.scan,
 		Swap:      b.swap,
 		Delete:    b.drop,
 		Grant:     b.grant,
@@ -109,6 +110,20 @@
 	return entriesOf(found.Entries), err
 }
 
+func (b *binding) scan(ctx context.Context, prefix string) (storer.Changes, error) {
+	found, err := retry[ListAnswer](ctx, b, call{
+		path: PathList,
+		key:  prefix,
+		body: PrefixRequest{
+			Prefix: prefix,
+		},
+	})
+	return storer.Changes{
+		Entries:  entriesOf(found.Entries),
+		Revision: found.Revision,
+	}, err
+}
+
 func (b *binding) instances(ctx context.Context) ([]storer.Instance, error) {
 	found, err := retry[InstancesAnswer](ctx, b, call{
 		path: PathInstances,
--- a/internal/dumper/dumper.go
+++ b/internal/dumper/dumper.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"net/netip"
@@ -68,21 +66,7 @@
 // Run serves until the context ends. It returns *ListenFailed if the address
 // cannot be used, else the listener's error.
 func (d *Dumper) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", d.config.Listen.String())
-	if err != nil {
-		return &ListenFailed{
-			Address: d.config.Listen,
-			Cause:   err,
-		}
-	}
-	stop := context.AfterFunc(ctx, func() {
-		_ = d.server.Close()
-	})
-	defer stop()
-	if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return serve(ctx, d.server, d.config.Listen)
 }
 
 // Dump returns the state of the process as indented JSON. If part is not
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,132 @@
+package follower_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorngap/buckthorngap/internal/follower"
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
+)
+
+// script is a store that gives the prepared answers of its watches.
+type script struct {
+	mu      sync.Mutex
+	scans   int
+	scan    storer.Changes
+	watches []func() (storer.Changes, error)
+	calls   []time.Time
+	after   []storer.Revision
+}
+
+func (s *script) store() *storer.Store {
+	return &storer.Store{
+		Scan: func(context.Context, string) (storer.Changes, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.scans++
+			return s.scan, nil
+		},
+		Watch: func(ctx context.Context, _ string, after storer.Revision) (storer.Changes, error) {
+			s.mu.Lock()
+			s.calls = append(s.calls, time.Now())
+			s.after = append(s.after, after)
+			if len(s.watches) > 0 {
+				next := s.watches[0]
+				s.watches = s.watches[1:]
+				s.mu.Unlock()
+				return next()
+			}
+			s.mu.Unlock()
+			<-ctx.Done()
+			return storer.Changes{}, ctx.Err()
+		},
+	}
+}
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// follow runs a follower on a script for a span of fake time.
+func follow(s *script, pause, span time.Duration) []follower.Update {
+	var updates []follower.Update
+	f := follower.New(follower.Config{
+		Store: s.store(),
+		Pause: pause,
+		Apply: func(update follower.Update) { updates = append(updates, update) },
+		Log:   quiet(),
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	_ = f.Run(ctx)
+	return updates
+}
+
+func changed(key string, revision storer.Revision) func() (storer.Changes, error) {
+	return func() (storer.Changes, error) {
+		return storer.Changes{
+			Entries: []storer.Entry{
+				{
+					Key:      key,
+					Revision: revision,
+				},
+			},
+			Revision: revision,
+		}, nil
+	}
+}
+
+func TestHistoryThatIsGoneIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{
+			scan: storer.Changes{
+				Revision: 5,
+			},
+			watches: []func() (storer.Changes, error){
+				func() (storer.Changes, error) { return storer.Changes{}, &storer.Compacted{} },
+			},
+		}
+		updates := follow(s, 0, time.Second)
+		is.Equal(s.scans, 2)
+		is.Equal(len(updates), 2)
+		is.True(updates[1].Whole)
+		is.True(!updates[1].Regained) // the store answered all the time
+	})
+}
+
+func TestReturnOfTheStoreIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		lost := func() (storer.Changes, error) { return storer.Changes{}, &storer.Unavailable{} }
+		s := &script{
+			watches: []func() (storer.Changes, error){changed("a", 1), lost, lost, changed("b", 2)},
+		}
+		updates := follow(s, 0, 3*time.Second)
+		is.Equal(len(updates), 3)
+		is.True(!updates[1].Regained)
+		is.True(updates[2].Regained)
+		is.Equal(s.after[3], storer.Revision(1)) // it goes on where it was
+	})
+}
+
+func TestPauseBoundsTheWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{}
+		for revision := range storer.Revision(100) {
+			s.watches = append(s.watches, changed("a", revision+1))
+		}
+		_ = follow(s, 500*time.Millisecond, 10*time.Second)
+		is.True(len(s.calls) <= 21)
+	})
+}
--- /dev/null
+++ b/internal/lister/lister_test.go
@@ -0,0 +1,131 @@
+package lister_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorngap/buckthorngap/internal/follower"
+	"github.com/buckthorngap/buckthorngap/internal/lister"
+	"github.com/buckthorngap/buckthorngap/internal/reporter"
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
+)
+
+type garbage struct{}
+
+func (*garbage) Error() string { return "garbage" }
+
+// fixture is a list with a clock that tests move.
+type fixture struct {
+	*lister.Lister
+	now time.Time
+}
+
+func newFixture() *fixture {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &fixture{
+		now: time.Unix(1000, 0),
+	}
+	f.Lister = lister.New(lister.Config{
+		Prefix: "up/",
+		Return: 2 * time.Second,
+		Now:    func() time.Time { return f.now },
+		Log:    log,
+		Decode: func(entry storer.Entry) (lister.Row, error) {
+			if string(entry.Value) == "garbage" {
+				return lister.Row{}, &garbage{}
+			}
+			return lister.Row{
+				Instance: storer.Instance{
+					Leaving: string(entry.Value) == "leaving",
+				},
+				Report: reporter.Report{
+					Sequence: uint64(entry.Revision),
+				},
+			}, nil
+		},
+	})
+	return f
+}
+
+func (f *fixture) names() []string {
+	names := []string{}
+	for _, row := range f.Upstreams() {
+		names = append(names, row.Name)
+	}
+	return names
+}
+
+func entry(name, value string, revision storer.Revision) storer.Entry {
+	return storer.Entry{
+		Key:      "up/" + name,
+		Value:    []byte(value),
+		Revision: revision,
+	}
+}
+
+func TestUnreadableEntryNamesNoUpstreamAndDisturbsNoOther(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Apply(follower.Update{
+		Entries: []storer.Entry{entry("a", "", 1), entry("b", "garbage", 2)},
+	})
+	is.Equal(f.names(), []string{"a"})
+	f.Apply(follower.Update{
+		Entries: []storer.Entry{entry("a", "garbage", 3)},
+	})
+	is.Equal(f.names(), []string{})
+}
+
+func TestOlderEntryChangesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Apply(follower.Update{
+		Entries: []storer.Entry{entry("a", "leaving", 5)},
+	})
+	f.Apply(follower.Update{
+		Entries: []storer.Entry{entry("a", "", 4)},
+	})
+	row, ok := f.Row("a")
+	is.True(ok)
+	is.True(row.Instance.Leaving)
+}
+
+func TestDeletedUpstreamGoesAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Apply(follower.Update{
+		Entries: []storer.Entry{entry("a", "", 1), entry("b", "", 2)},
+	})
+	f.Apply(follower.Update{
+		Deleted: []string{"up/a"},
+	})
+	is.Equal(f.names(), []string{"b"})
+	f.Apply(follower.Update{
+		Whole: true,
+	})
+	is.Equal(f.names(), []string{})
+}
+
+func TestUpstreamsMayRegisterAgainAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Apply(follower.Update{
+		Entries: []storer.Entry{entry("a", "", 1), entry("b", "", 2)},
+	})
+	f.Apply(follower.Update{
+		Deleted:  []string{"up/a", "up/b"},
+		Regained: true,
+	})
+	is.Equal(f.names(), []string{"a", "b"}) // their entries lapsed while the store was away
+	f.now = f.now.Add(time.Second)
+	f.Apply(follower.Update{
+		Entries: []storer.Entry{entry("a", "", 3)},
+	})
+	f.now = f.now.Add(1100 * time.Millisecond)
+	is.Equal(f.names(), []string{"a"}) // the other one is gone
+}
--- a/internal/reporter/report.go
+++ b/internal/reporter/report.go
@@ -53,10 +53,14 @@
 type Report struct {
 	// Upstream is the upstream's name in the platform's list.
 	Upstream string `json:"upstream"`
-	// At is when the report was true, by the upstream's clock.
+	// At is when the report was true, by the upstream's clock; zero if the report
+	// does not tell what runs.
 	At time.Time `json:"at"`
 	// Sequence numbers the reports of one start of the upstream.
 	Sequence uint64 `json:"sequence"`
+	// Orders is the number of orders that the upstream has accepted since its
+	// start, where it tells.
+	Orders uint64 `json:"orders,omitempty"`
 	// Start differs for each start of the upstream.
 	Start string `json:"start"`
 	// Bytes is the accelerator memory, in bytes.
--- a/pkg/storer/errors.go
+++ b/pkg/storer/errors.go
@@ -34,6 +34,18 @@
 // Error implements error.
 func (e *Lapsed) Error() string { return "store lease " + string(e.Lease) + " has lapsed" }
 
+// Compacted reports that the store no longer has the changes that a watch asked
+// for; the prefix has to be read anew.
+type Compacted struct {
+	// After is the revision that was asked from.
+	After Revision
+}
+
+// Error implements error.
+func (e *Compacted) Error() string {
+	return fmt.Sprintf("store no longer has the changes since revision %d", e.After)
+}
+
 // Unavailable reports that the store gave no usable answer. A write may or may
 // not have taken effect.
 type Unavailable struct {
--- a/pkg/storer/store.go
+++ b/pkg/storer/store.go
@@ -12,6 +12,9 @@
 	Get func(ctx context.Context, key string) (Entry, error)
 	// List reads all entries whose keys start with prefix, in key order.
 	List func(ctx context.Context, prefix string) ([]Entry, error)
+	// Scan reads all entries whose keys start with prefix, and a revision from
+	// which a watch misses none of the later changes. It may show some of them.
+	Scan func(ctx context.Context, prefix string) (Changes, error)
 	// Swap writes a value if the key is still at the expected revision. It
 	// returns *Conflict if it is not, and *Unavailable if the outcome is not known.
 	Swap func(ctx context.Context, swap Swap) (Entry, error)
@@ -25,6 +28,7 @@
 	Revoke func(ctx context.Context, id LeaseID) error
 	// Watch waits until an entry under prefix has a revision above after, or
 	// the context ends, and returns what changed. Each call counts as one read.
+	// It returns *Compacted if the store no longer has the changes since after.
 	Watch func(ctx context.Context, prefix string, after Revision) (Changes, error)
 	// Instances reads the platform's lagging list of instances and upstreams.
 	Instances func(ctx context.Context) ([]Instance, error)
