Load adapters on demand and swap models on the users' platform

Of the 429 answers 398 came from limits whose part in a failure domain, 23 to 48 thousand tokens, holds no large request.

- A holder for each group of engines loads adapters and swaps models; orders name the engine's sequence, so that late ones are harmless and need no record beforehand.

Ruled out: recorded intents as in internal/placer, since the engine checks the sequence when it carries an order out.

--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -20,7 +20,7 @@
 		Instances: limits.Instances,
 		Interval:  limits.Interval.Duration,
 		Duties:    i.settings.Duties.Limits,
-		Team:      func(name string) (configurator.Team, bool) { return i.snapshot().Team(name) },
+		Team:      i.limits,
 		Term:      i.limitTerm,
 		Owner:     i.owner,
 		Members:   i.tracker.Members,
@@ -45,6 +45,15 @@
 	})
 }
 
+// limits are those of a team in force, with the slack of the settings.
+func (i *Instance) limits(name string) (configurator.Team, bool) {
+	team, ok := i.snapshot().Team(name)
+	if ok && !team.Flat {
+		team.Burst += i.settings.Limits.Slack
+	}
+	return team, ok
+}
+
 // limitTerm is the term of a limit duty. A freeze that the term outlasts must
 // not look like its end, else the holder would forget what it has lent.
 func (i *Instance) limitTerm(duty string) (limiter.Term, bool) {
--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -13,12 +13,16 @@
 	"github.com/buckthorngap/buckthorngap/internal/enlister"
 	"github.com/buckthorngap/buckthorngap/internal/follower"
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
+	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/lister"
 	"github.com/buckthorngap/buckthorngap/internal/logger"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/parser"
+	"github.com/buckthorngap/buckthorngap/internal/queuer"
+	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/internal/server"
+	"github.com/buckthorngap/buckthorngap/internal/stager"
 	"github.com/buckthorngap/buckthorngap/internal/tracker"
 	"github.com/buckthorngap/buckthorngap/pkg/configurator"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
@@ -51,6 +55,12 @@
 	// Saved returns the number of retries that this instance may save up, given
 	// the number of instances.
 	Saved func(instances int) float64
+	// Order sends an order to an engine.
+	Order func(ctx context.Context, engine storer.Instance, order stager.Order) (stager.Answer, error)
+	// Read reads an engine's own report.
+	Read func(ctx context.Context, engine storer.Instance) (reporter.Report, error)
+	// Quiet is how long a new holder of engines waits before its first order.
+	Quiet time.Duration
 	// Lenient lets requests that run when their key is withdrawn finish.
 	Lenient bool
 }
@@ -89,6 +99,7 @@
 	config    FrontConfig
 	adopter   *adopter.Adopter
 	upstreams *lister.Lister
+	stager    *stager.Stager
 	instances *lister.Lister
 	enlister  *enlister.Enlister
 	followers []*follower.Follower
@@ -124,16 +135,20 @@
 		return nil, err
 	}
 	f.wireMembership(tracker.Config{
-		List: f.listInstances,
+		List:    f.listInstances,
+		Attach:  func() []byte { return f.stager.Digest() },
+		Deliver: func(from messenger.Peer, digest []byte) { f.stager.Deliver(from, digest) },
 	})
-	f.wireDuties()
+	f.wireDuties(append(limiter.Duties(settings.Duties.Limits), stager.Duties(settings.Duties.Placements)...))
 	f.wireAdmission()
 	f.wireFrontRequests()
+	f.wireStages()
 	f.wireProbes()
 	for _, handlers := range []map[string]messenger.Handler{
 		f.tracker.Handlers(),
 		f.holder.Handlers(),
 		f.limiter.Handlers(),
+		f.stager.Handlers(),
 	} {
 		for topic, handler := range handlers {
 			f.messenger.Handle(topic, handler)
@@ -223,14 +238,21 @@
 		Log:     f.log,
 	})
 	f.server = server.New(server.Config{
-		Routed:      true,
-		Face:        f.config.Face,
-		Snapshot:    f.adopter.Current,
-		Known:       f.adopter.Ready,
-		Reserve:     f.limiter.Reserve,
-		Enter:       f.queuer.Enter,
-		Place:       f.router.Pick,
-		Ready:       f.router.Ready,
+		Routed:   true,
+		Face:     f.config.Face,
+		Snapshot: f.adopter.Current,
+		Known:    f.adopter.Ready,
+		Reserve:  f.limiter.Reserve,
+		Enter:    f.queuer.Enter,
+		Place:    f.router.Pick,
+		Ready:    f.router.Ready,
+		Expect: func(ctx context.Context, service, checkpoint string) (time.Time, bool) {
+			return f.stager.Expect(ctx, service, checkpoint)
+		},
+		Prepare: func(ctx context.Context, choice *router.Choice, need router.Need) error {
+			return f.stager.Prepare(ctx, choice, need)
+		},
+		Want:        func(ticket queuer.Ticket) { f.want(ticket) },
 		Lenient:     f.config.Lenient,
 		Forwarder:   f.forwarder,
 		Body:        callers.Body,
@@ -255,6 +277,46 @@
 	return 0
 }
 
+// wireStages makes what has engines load what requests wait for.
+func (f *Front) wireStages() {
+	f.stager = stager.New(stager.Config{
+		Self:      f.self,
+		Domains:   func() []string { return f.settings.Limits.Domains },
+		Groups:    f.settings.Duties.Placements,
+		Term:      f.stageTerm,
+		Owner:     f.owner,
+		Members:   f.tracker.Members,
+		Call:      f.messenger.Call,
+		Snapshot:  f.adopter.Current,
+		Upstreams: f.upstreams.Upstreams,
+		Row:       f.upstreams.Row,
+		Order:     f.config.Order,
+		Read:      f.config.Read,
+		Note:      f.router.Note,
+		Quiet:     f.config.Quiet,
+		Now:       f.now,
+		Log:       f.log,
+	})
+}
+
+func (f *Front) stageTerm(duty string) (stager.Term, bool) {
+	term, ok := f.holder.Term(duty)
+	if !ok {
+		return stager.Term{}, false
+	}
+	return stager.Term{
+		Epoch: term.Epoch(),
+		Check: term.Check,
+	}, true
+}
+
+// want counts a request for a model.
+func (f *Front) want(ticket queuer.Ticket) {
+	if need, ok := ticket.Value.(router.Need); ok && need.Checkpoint != "" {
+		f.stager.Want(need.Checkpoint)
+	}
+}
+
 // wireProbes makes what the platform and operators ask of the instance.
 func (f *Front) wireProbes() {
 	f.dumper = dumper.New(dumper.Config{
@@ -292,6 +354,7 @@
 		f.tracker.Run,
 		f.holder.Run,
 		endless(f.limiter.Run),
+		endless(f.stager.Run),
 		endless(f.queuer.Run),
 		endless(f.forwarder.Run),
 		endless(f.refreshRouter),
--- a/internal/app/state.go
+++ b/internal/app/state.go
@@ -29,7 +29,7 @@
 		Call:    i.messenger.Call,
 		Log:     i.log,
 	})
-	i.wireDuties()
+	i.wireDuties(append(limiter.Duties(i.settings.Duties.Limits), placer.Duties(i.settings.Duties.Placements)...))
 	return nil
 }
 
@@ -68,7 +68,7 @@
 }
 
 // wireDuties makes the holder of this instance's duties.
-func (i *Instance) wireDuties() {
+func (i *Instance) wireDuties(duties []string) {
 	i.holder = holder.New(holder.Config{
 		Self:      i.self,
 		SelfPeer:  i.selfPeer(),
@@ -76,7 +76,7 @@
 		Members:   i.tracker.Members,
 		Call:      i.messenger.Call,
 		Guard:     i.guard,
-		Duties:    i.duties(),
+		Duties:    duties,
 		Brief:     brief,
 		Lease:     i.settings.Duties.Lease.Duration,
 		Margin:    i.settings.Duties.Margin.Duration,
@@ -98,10 +98,6 @@
 	}
 }
 
-func (i *Instance) duties() []string {
-	return append(limiter.Duties(i.settings.Duties.Limits), placer.Duties(i.settings.Duties.Placements)...)
-}
-
 // brief tells whether all acts of a duty take effect within the margin. A
 // limit duty's do: an answer that lends or gives is awaited for some hundred
 // milliseconds. An order to an engine may be long on its way.
--- a/internal/parser/check.go
+++ b/internal/parser/check.go
@@ -113,6 +113,7 @@
 		require("duties.limits", s.Duties.Limits > 0, positive),
 		require("duties.placements", s.Duties.Placements > 0, positive),
 		require("limits.reserve", s.Limits.Reserve >= 0 && s.Limits.Reserve <= 1, fraction),
+		require("limits.slack", s.Limits.Slack >= 0, "must not be negative"),
 		require("limits.instances", s.Limits.Instances > 0, positive),
 		require("waiting.requests", s.Waiting.Requests >= 0, "must not be negative"),
 		require("waiting.overnight", s.Waiting.Overnight >= 0 && s.Waiting.Overnight <= s.Waiting.Requests, "must lie between 0 and waiting.requests"),
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -149,6 +149,10 @@
 	Reserve float64 `json:"reserve"`
 	// Instances is the number of instances of the domain that reserves are made for.
 	Instances int `json:"instances"`
+	// Slack is what a team may spend beyond its burst over all instances
+	// together, in tokens, where the platform tolerates that: with it a failure
+	// domain's part of a small burst holds whole requests.
+	Slack int64 `json:"slack"`
 	// Interval is the time between demands for loans.
 	Interval Duration `json:"interval"`
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -125,6 +125,25 @@
 	r.index.Store(built)
 }
 
+// Note tells that an upstream holds something, or no longer does, before what
+// it says of itself shows that. An empty adapter means the checkpoint.
+func (r *Router) Note(upstream, checkpoint, adapter string, held bool) {
+	r.mu.Lock()
+	u := r.upstreams[upstream]
+	if u == nil {
+		r.mu.Unlock()
+		return
+	}
+	u.note(r.config.Now(), checkpoint, adapter, held)
+	if adapter == "" {
+		r.build()
+	}
+	r.mu.Unlock()
+	if held {
+		r.config.Changed()
+	}
+}
+
 // Ready is the number of upstreams with a ready copy of a checkpoint.
 func (r *Router) Ready(checkpoint string) int { return len(r.index.Load().engines[checkpoint]) }
 
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,8 @@
 	failures int
 	until    time.Time
 	probing  bool
+	// notes are what is known of it before it says so.
+	notes map[noted]heldNote
 }
 
 func newUpstream(name string, capacity int) *upstream {
@@ -102,6 +105,10 @@
 		capacity = report.Slots
 	}
 	u.mu.Lock()
+	if old.start != report.Start {
+		u.notes = nil
+	}
+	fresh = fresh.with(u.notes, now)
 	full := u.load() >= u.capacity
 	u.capacity = capacity
 	if !report.At.IsZero() {
@@ -150,6 +157,74 @@
 	return true
 }
 
+// overlay is how long a note counts beside what the upstream says of itself,
+// which lags by a second or two.
+const overlay = 3 * time.Second
+
+// noted is something that is known of an upstream before it says so.
+type noted struct {
+	checkpoint string
+	adapter    string
+}
+
+// note remembers that the upstream holds something, or no longer does.
+func (u *upstream) note(now time.Time, checkpoint, adapter string, held bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.notes == nil {
+		u.notes = map[noted]heldNote{}
+	}
+	u.notes[noted{
+		checkpoint: checkpoint,
+		adapter:    adapter,
+	}] = heldNote{
+		until: now.Add(overlay),
+		held:  held,
+	}
+	u.view.Store(u.view.Load().with(u.notes, now))
+}
+
+// heldNote tells whether something is held, until what the upstream says counts again.
+type heldNote struct {
+	until time.Time
+	held  bool
+}
+
+// with is the view with what was noted since. Notes that are old are dropped.
+func (v *view) with(notes map[noted]heldNote, now time.Time) *view {
+	if len(notes) == 0 {
+		return v
+	}
+	next := *v
+	next.ready = make(map[string]map[string]struct{}, len(v.ready))
+	for checkpoint, adapters := range v.ready {
+		next.ready[checkpoint] = maps.Clone(adapters)
+	}
+	for key, one := range notes {
+		if now.After(one.until) {
+			delete(notes, key)
+			continue
+		}
+		next.apply(key, one.held)
+	}
+	return &next
+}
+
+func (v *view) apply(key noted, held bool) {
+	adapters, known := v.ready[key.checkpoint]
+	switch {
+	case key.adapter == "" && held && !known:
+		v.ready[key.checkpoint] = map[string]struct{}{}
+	case key.adapter == "" && !held:
+		delete(v.ready, key.checkpoint)
+	case key.adapter == "" || !known:
+	case held:
+		adapters[key.adapter] = struct{}{}
+	default:
+		delete(adapters, key.adapter)
+	}
+}
+
 // has tells whether the upstream can run what a request needs.
 func (u *upstream) has(need *Need) bool {
 	current := u.view.Load()
--- a/internal/server/entrance.go
+++ b/internal/server/entrance.go
@@ -18,7 +18,7 @@
 	}
 	ticket := p.ticket()
 	s.config.Want(ticket)
-	if refused := p.futile(ticket); refused != nil {
+	if refused := p.futile(ctx); refused != nil {
 		return nil, refused
 	}
 	placement, err := s.config.Enter(ctx, ticket)
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
-	"github.com/buckthorngap/buckthorngap/internal/queuer"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
@@ -173,7 +172,7 @@
 }
 
 // futile refuses a request at once if no engine will be ready for it in time.
-func (p *passage) futile(ticket queuer.Ticket) *refuser.Refusal {
+func (p *passage) futile(ctx context.Context) *refuser.Refusal {
 	config := &p.server.config
 	if !p.routed || p.need.Checkpoint == "" || config.Ready == nil || config.Ready(p.need.Checkpoint) > 0 {
 		return nil
@@ -182,7 +181,7 @@
 	if config.Expect == nil {
 		return refused
 	}
-	at, known := config.Expect(ticket)
+	at, known := config.Expect(ctx, p.need.Service, p.need.Checkpoint)
 	if known && at.Before(p.deadline) {
 		return nil
 	}
@@ -194,7 +193,7 @@
 
 // travel carries the request to its upstream and the answer back.
 func (p *passage) travel(ctx context.Context) error {
-	if err := p.prepare(ctx); err != nil {
+	if err := p.equip(ctx); err != nil {
 		return err
 	}
 	choice := p.choice
@@ -228,14 +227,34 @@
 	return err
 }
 
-// prepare has the adapter loaded that the chosen engine lacks.
-func (p *passage) prepare(ctx context.Context) error {
-	if !p.choice.Missing || p.server.config.Prepare == nil {
-		return nil
+// equip has the adapter loaded that the chosen engine lacks. If that engine
+// cannot have it, another one is tried.
+func (p *passage) equip(ctx context.Context) error {
+	for try := 1; p.choice.Missing; try++ {
+		err := p.server.config.Prepare(ctx, p.choice, p.need)
+		if err == nil {
+			return nil
+		}
+		if try >= equipTries || ctx.Err() != nil {
+			return err
+		}
+		p.choice.Done(router.Neutral)
+		need := p.need
+		need.Exclude = append(need.Exclude, p.choice.Upstream)
+		next, ok := p.server.config.Place(need)
+		if !ok {
+			return err
+		}
+		p.need.Exclude = need.Exclude
+		p.choice = next
 	}
-	return p.server.config.Prepare(ctx, p.choice, p.need)
+	return nil
 }
 
+// equipTries is the number of engines that may be asked to load an adapter for
+// one request.
+const equipTries = 2
+
 // another chooses an upstream for a retry; only one that has all that the
 // request needs.
 func (p *passage) another(tried []string) (*router.Choice, bool) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -47,9 +47,9 @@
 	Face Face
 	// Routed is set if every request goes by route, and no path is the product's own.
 	Routed bool
-	// Expect tells when an engine will be ready for a request that none is ready
-	// for; nil means that it is not known.
-	Expect func(ticket queuer.Ticket) (time.Time, bool)
+	// Expect has a model loaded that no engine holds, and tells when it is; nil
+	// means that none can be.
+	Expect func(ctx context.Context, service, checkpoint string) (time.Time, bool)
 	// Prepare has what Choice.Missing tells of loaded; nil means that nothing can be.
 	Prepare func(ctx context.Context, choice *router.Choice, need router.Need) error
 	// Place chooses another upstream for a retry of a routed request.
--- /dev/null
+++ b/internal/stager/book.go
@@ -0,0 +1,156 @@
+package stager
+
+import (
+	"sync"
+	"time"
+
+	"github.com/buckthorngap/buckthorngap/internal/lister"
+	"github.com/buckthorngap/buckthorngap/internal/reporter"
+)
+
+// settling is how long an order of this instance counts beside what the engine
+// says of itself: entries come every second or two and are read twice a second.
+const settling = 3 * time.Second
+
+// book is what the holder of a duty knows of one engine. Its lock is held
+// through an order, since the number of accepted orders is part of the next one.
+type book struct {
+	mu    sync.Mutex
+	start string
+	// sequence is the number of orders that the engine has accepted.
+	sequence uint64
+	// revision is that of the entry that was read last.
+	revision uint64
+	// held is what the engine said that it holds.
+	held map[string]map[string]bool
+	// changes are what orders of this instance changed since.
+	changes []change
+	// used is when each adapter was asked for last.
+	used map[string]time.Time
+	// loaded is when each checkpoint was loaded here by an order.
+	loaded map[string]time.Time
+	// until is when the order for a checkpoint that is under way will be done.
+	until time.Time
+	// target is what it loads.
+	target string
+	// doubt is set while the sequence is not known: before the first order, and
+	// after one that conflicted or was not answered.
+	doubt bool
+}
+
+// change is what one order changed.
+type change struct {
+	// until is how long it counts beside what the engine says.
+	until      time.Time
+	checkpoint string
+	adapter    string
+	held       bool
+}
+
+// learn takes what the engine says of itself.
+func (b *book) learn(row lister.Row) {
+	if b.held == nil || b.start != row.Report.Start {
+		b.start = row.Report.Start
+		b.revision = 0
+		b.changes = nil
+		b.used = map[string]time.Time{}
+		b.loaded = map[string]time.Time{}
+		b.until = time.Time{}
+		b.doubt = true
+	}
+	if row.Report.Sequence <= b.revision {
+		return
+	}
+	b.revision = row.Report.Sequence
+	b.held = copies(row.Report)
+}
+
+// read takes the engine's own report, which settles a doubt.
+func (b *book) read(report reporter.Report) {
+	b.sequence = report.Orders
+	b.held = copies(report)
+	b.doubt = false
+}
+
+func copies(report reporter.Report) map[string]map[string]bool {
+	held := make(map[string]map[string]bool, len(report.Copies))
+	for _, one := range report.Copies {
+		adapters := make(map[string]bool, len(one.Adapters))
+		for _, adapter := range one.Adapters {
+			adapters[adapter] = true
+		}
+		held[one.Checkpoint] = adapters
+	}
+	return held
+}
+
+// note remembers what an order changes that is done at a time.
+func (b *book) note(done time.Time, checkpoint, adapter string, held bool) {
+	b.changes = append(b.changes, change{
+		until:      done.Add(settling),
+		checkpoint: checkpoint,
+		adapter:    adapter,
+		held:       held,
+	})
+}
+
+// contents is what the engine holds: what it said, with the changes since.
+func (b *book) contents(now time.Time) map[string]map[string]bool {
+	current := make(map[string]map[string]bool, len(b.held))
+	for checkpoint, adapters := range b.held {
+		current[checkpoint] = make(map[string]bool, len(adapters))
+		for adapter := range adapters {
+			current[checkpoint][adapter] = true
+		}
+	}
+	kept := b.changes[:0]
+	for _, one := range b.changes {
+		if now.After(one.until) {
+			continue
+		}
+		kept = append(kept, one)
+		one.apply(current)
+	}
+	b.changes = kept
+	return current
+}
+
+func (c change) apply(current map[string]map[string]bool) {
+	switch {
+	case c.adapter == "" && c.held:
+		if current[c.checkpoint] == nil {
+			current[c.checkpoint] = map[string]bool{}
+		}
+	case c.adapter == "":
+		delete(current, c.checkpoint)
+	case current[c.checkpoint] == nil:
+	case c.held:
+		current[c.checkpoint][c.adapter] = true
+	default:
+		delete(current[c.checkpoint], c.adapter)
+	}
+}
+
+// idlest returns the adapter that was asked for longest ago, but for those
+// that were asked for within the given time.
+func (b *book) idlest(now time.Time, current map[string]map[string]bool, fresh time.Duration) (checkpoint, adapter string, ok bool) {
+	var oldest time.Time
+	for held, adapters := range current {
+		for one := range adapters {
+			used := b.used[one]
+			if now.Sub(used) < fresh || ok && !used.Before(oldest) {
+				continue
+			}
+			checkpoint, adapter, oldest, ok = held, one, used, true
+		}
+	}
+	return checkpoint, adapter, ok
+}
+
+func count(current map[string]map[string]bool) int {
+	total := 0
+	for _, adapters := range current {
+		total += len(adapters)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/stager/question.go
@@ -0,0 +1,231 @@
+package stager
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorngap/buckthorngap/internal/messenger"
+	"github.com/buckthorngap/buckthorngap/internal/router"
+	"github.com/buckthorngap/buckthorngap/internal/stager/stagerpb"
+	"github.com/buckthorngap/buckthorngap/internal/tracker"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
+)
+
+// askTime ends a question about an adapter: a message each way, two orders and
+// the load.
+const askTime = 400 * time.Millisecond
+
+// question is one question that several requests may wait for.
+type question struct {
+	done  chan struct{}
+	ready time.Time
+	err   error
+}
+
+// Prepare has the adapter that a request needs loaded at the engine that was
+// chosen for it, and returns once it is ready. It returns a *refuser.Refusal if
+// it is not in time.
+func (s *Stager) Prepare(ctx context.Context, choice *router.Choice, need router.Need) error {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	asked := s.ask(ctx, choice.Upstream, need)
+	select {
+	case <-asked.done:
+	case <-ctx.Done():
+		return refusal(ctx.Err())
+	}
+	if asked.err != nil {
+		return refusal(asked.err)
+	}
+	rest := asked.ready.Sub(s.config.Now())
+	if rest > 0 && !waiter.Pause(ctx, rest) {
+		return refusal(ctx.Err())
+	}
+	return nil
+}
+
+// ask returns the question about an adapter, and begins it if nobody has.
+func (s *Stager) ask(ctx context.Context, engine string, need router.Need) *question {
+	key := engine + " " + need.Adapter
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if asked := s.asking[key]; asked != nil {
+		return asked
+	}
+	asked := &question{
+		done: make(chan struct{}),
+	}
+	s.asking[key] = asked
+	go s.run(context.WithoutCancel(ctx), key, asked, &stagerpb.Ask{
+		Engine:     engine,
+		Checkpoint: need.Checkpoint,
+		Adapter:    need.Adapter,
+		Duty:       uint32(s.group(engine)),
+	})
+	return asked
+}
+
+// run asks the holder of the engine's duty.
+func (s *Stager) run(ctx context.Context, key string, asked *question, ask *stagerpb.Ask) {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	told := &stagerpb.Told{}
+	if row, ok := s.config.Row(ask.GetEngine()); ok {
+		told = s.reach(ctx, row.Instance.Domain, ask)
+	} else {
+		told.Refused = "the engine is not listed"
+	}
+	s.mu.Lock()
+	delete(s.asking, key)
+	s.mu.Unlock()
+	if told.GetRefused() != "" {
+		asked.err = unavailable(told.GetRefused())
+		s.config.Log.WithFields(logrus.Fields{
+			"engine":  ask.GetEngine(),
+			"adapter": ask.GetAdapter(),
+			"reason":  told.GetRefused(),
+		}).Info("stage.refused")
+	} else {
+		asked.ready = s.config.Now().Add(time.Duration(told.GetWait()))
+		s.config.Note(ask.GetEngine(), ask.GetCheckpoint(), ask.GetAdapter(), true)
+	}
+	close(asked.done)
+}
+
+// reach asks the holder of a duty of a failure domain, of another one through
+// its instances.
+func (s *Stager) reach(ctx context.Context, domain string, ask *stagerpb.Ask) *stagerpb.Told {
+	if domain == s.config.Self.Domain {
+		return s.answer(ctx, ask)
+	}
+	told := &stagerpb.Told{
+		Refused: "no instance of " + domain + " is known",
+	}
+	for _, peer := range s.doors(domain, ask.GetDuty()) {
+		told = s.send(ctx, peer, ask)
+		if told.GetRefused() == "" || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return told
+		}
+	}
+	return told
+}
+
+// doors are up to two instances of another domain to ask, in an order in which
+// the questions about different duties begin at different ones.
+func (s *Stager) doors(domain string, number uint32) []messenger.Peer {
+	var peers []messenger.Peer
+	for _, member := range s.config.Members() {
+		if member.Domain == domain && member.State == tracker.Alive {
+			peers = append(peers, member.Peer)
+		}
+	}
+	if len(peers) < 2 {
+		return peers
+	}
+	first := int(number) % len(peers)
+	return []messenger.Peer{peers[first], peers[(first+1)%len(peers)]}
+}
+
+// modelTime ends a question about a model.
+const modelTime = 300 * time.Millisecond
+
+// Want counts a request for a model.
+func (s *Stager) Want(checkpoint string) { s.demand.note(checkpoint) }
+
+// Digest is what this instance was asked for, for its peers.
+func (s *Stager) Digest() []byte { return s.demand.digest() }
+
+// Deliver takes a peer's digest.
+func (s *Stager) Deliver(from messenger.Peer, digest []byte) {
+	if err := s.demand.take(from.Name, digest); err != nil {
+		s.config.Log.WithField("peer", from.Name).WithError(err).Warn("stage.malformed")
+	}
+}
+
+// Expect asks for a model that no engine holds, and tells when one will.
+func (s *Stager) Expect(ctx context.Context, service, checkpoint string) (time.Time, bool) {
+	ctx, cancel := context.WithTimeout(ctx, modelTime)
+	defer cancel()
+	asked := s.askModel(ctx, service, checkpoint)
+	select {
+	case <-asked.done:
+	case <-ctx.Done():
+		return time.Time{}, false
+	}
+	return asked.ready, asked.err == nil
+}
+
+// askModel returns the question about a model, and begins it if nobody has. A
+// question stays for a while, so that not every request asks anew.
+func (s *Stager) askModel(ctx context.Context, service, checkpoint string) *question {
+	key := "model " + checkpoint
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if asked := s.asking[key]; asked != nil {
+		return asked
+	}
+	asked := &question{
+		done: make(chan struct{}),
+	}
+	s.asking[key] = asked
+	go s.runModel(context.WithoutCancel(ctx), key, asked, service, checkpoint)
+	return asked
+}
+
+// questionRest is for how long an answer about a model counts.
+const questionRest = 500 * time.Millisecond
+
+// runModel asks the holder of the duty that is to load a model, and notes when
+// it is loaded.
+func (s *Stager) runModel(ctx context.Context, key string, asked *question, service, checkpoint string) {
+	told := s.place(ctx, service, checkpoint)
+	if told.GetRefused() != "" {
+		asked.err = unavailable(told.GetRefused())
+		s.config.Log.WithFields(logrus.Fields{
+			"checkpoint": checkpoint,
+			"reason":     told.GetRefused(),
+		}).Info("stage.refused")
+	} else {
+		asked.ready = s.config.Now().Add(time.Duration(told.GetWait()))
+	}
+	close(asked.done)
+	rest := max(questionRest, time.Duration(told.GetWait()))
+	waiter.Pause(ctx, rest)
+	if asked.err == nil {
+		s.config.Note(told.GetEngine(), checkpoint, "", true)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asking, key)
+}
+
+// place asks the holders of duties in an order on which all instances agree:
+// those first whose engines have the weights at hand. The second is asked if
+// the first cannot.
+func (s *Stager) place(ctx context.Context, service, checkpoint string) *stagerpb.Told {
+	ctx, cancel := context.WithTimeout(ctx, modelTime)
+	defer cancel()
+	told := &stagerpb.Told{
+		Refused: "no engine of the service is listed",
+	}
+	for i, target := range s.targets(service, checkpoint) {
+		if i >= placeTries || ctx.Err() != nil {
+			break
+		}
+		told = s.reach(ctx, target.domain, &stagerpb.Ask{
+			Service:    service,
+			Checkpoint: checkpoint,
+			Duty:       uint32(target.number),
+		})
+		if told.GetRefused() == "" {
+			break
+		}
+	}
+	return told
+}
+
+// placeTries is the number of duties whose holders are asked for a model.
+const placeTries = 3
