--- /dev/null
+++ b/internal/stager/engine_test.go
@@ -0,0 +1,246 @@
+package stager
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorngap/buckthorngap/internal/lister"
+	"github.com/buckthorngap/buckthorngap/internal/messenger"
+	"github.com/buckthorngap/buckthorngap/internal/reporter"
+	"github.com/buckthorngap/buckthorngap/internal/tracker"
+	"github.com/buckthorngap/buckthorngap/pkg/configurator"
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
+)
+
+const (
+	modelBytes   = 70
+	adapterBytes = 1
+	engineBytes  = 150 // two models and their adapters
+	adapterSlots = 3
+	loadTime6    = 6 * time.Second
+)
+
+var errGone = errors.New("no answer")
+
+// engine is a fake engine that keeps the rules of its kind: one order at a
+// time, the number of accepted orders as condition, bounds of memory and slots.
+type engine struct {
+	t        *testing.T
+	now      func() time.Time
+	models   map[string]map[string]bool
+	coming   string
+	until    time.Time
+	sequence uint64
+	orders   []Order
+	overfull bool
+	silent   bool
+	stuck    bool // unloads wait
+}
+
+func (e *engine) settle() {
+	if e.coming != "" && !e.now().Before(e.until) {
+		e.models[e.coming] = map[string]bool{}
+		e.coming = ""
+	}
+}
+
+func (e *engine) order(_ context.Context, _ storer.Instance, order Order) (Answer, error) {
+	e.settle()
+	e.orders = append(e.orders, order)
+	if e.silent {
+		return Begun, &Lost{
+			Cause: errGone,
+		}
+	}
+	if e.coming != "" || order.Sequence != e.sequence {
+		return Begun, &Conflict{}
+	}
+	answer := e.carryOut(order)
+	e.check()
+	return answer, nil
+}
+
+func (e *engine) carryOut(order Order) Answer {
+	adapters := e.models[order.Checkpoint]
+	switch {
+	case order.Adapter != "" && order.Unload:
+		e.sequence++
+		if e.stuck {
+			return Begun
+		}
+		delete(adapters, order.Adapter)
+		return Holding
+	case order.Adapter != "":
+		if adapters[order.Adapter] {
+			return Holding
+		}
+		e.sequence++
+		adapters[order.Adapter] = true
+		return Begun
+	case order.Unload:
+		e.sequence++
+		delete(e.models, order.Checkpoint)
+		return Begun
+	default:
+		e.sequence++
+		e.coming = order.Checkpoint
+		e.until = e.now().Add(loadTime6)
+		return Begun
+	}
+}
+
+// check fails the test once the engine was ordered to hold too much.
+func (e *engine) check() {
+	bytes, slots := 0, 0
+	for _, adapters := range e.models {
+		bytes += modelBytes + len(adapters)*adapterBytes
+		slots += len(adapters)
+	}
+	if e.coming != "" {
+		bytes += modelBytes
+	}
+	if bytes > engineBytes || slots > adapterSlots {
+		e.overfull = true
+	}
+}
+
+func (e *engine) report() reporter.Report {
+	e.settle()
+	report := reporter.Report{
+		Orders: e.sequence,
+	}
+	for model, adapters := range e.models {
+		held := reporter.Copy{
+			Checkpoint: model,
+		}
+		for adapter := range adapters {
+			held.Adapters = append(held.Adapters, adapter)
+		}
+		report.Copies = append(report.Copies, held)
+	}
+	return report
+}
+
+// fixture is a Stager that holds the only duty over one fake engine.
+type fixture struct {
+	*Stager
+	engine   *engine
+	row      lister.Row
+	term     Term
+	held     bool
+	revision uint64
+	calls    int
+}
+
+func newFixture(t *testing.T, models ...string) *fixture {
+	t.Helper()
+	f := &fixture{
+		engine: &engine{
+			t:      t,
+			now:    time.Now,
+			models: map[string]map[string]bool{},
+		},
+		held: true,
+		term: Term{
+			Epoch: 1,
+			Check: func() error { return nil },
+		},
+	}
+	for _, model := range models {
+		f.engine.models[model] = map[string]bool{}
+	}
+	snapshot := configuration(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f.Stager = New(Config{
+		Self: messenger.Sender{
+			Name:   "a1",
+			Domain: "a",
+		},
+		Domains:  func() []string { return []string{"a"} },
+		Term:     func(string) (Term, bool) { return f.term, f.held },
+		Owner:    func(string) (messenger.Peer, uint64, bool) { return messenger.Peer{}, 0, false },
+		Members:  func() []tracker.Member { return nil },
+		Snapshot: func() *configurator.Snapshot { return snapshot },
+		Upstreams: func() []storer.Instance {
+			return []storer.Instance{f.row.Instance}
+		},
+		Row:   func(string) (lister.Row, bool) { return f.row, true },
+		Order: f.engine.order,
+		Read: func(context.Context, storer.Instance) (reporter.Report, error) {
+			f.calls++
+			return f.engine.report(), nil
+		},
+		Quiet: 3 * time.Second,
+		Log:   log,
+	})
+	f.tell()
+	return f
+}
+
+// tell has the engine write its entry.
+func (f *fixture) tell() {
+	f.revision++
+	report := f.engine.report()
+	report.Sequence = f.revision
+	report.Orders = 0 // an entry does not tell it
+	report.Start = "1"
+	f.row = lister.Row{
+		Instance: storer.Instance{
+			Name:    "e",
+			Domain:  "a",
+			Role:    storer.RoleEngine,
+			Service: "engines",
+		},
+		Report: report,
+	}
+}
+
+func configuration(t *testing.T) *configurator.Snapshot {
+	t.Helper()
+	archive := configurator.Archive{
+		Services: []configurator.Service{
+			{
+				Name: "engines",
+				Engine: &configurator.Engine{
+					Bytes:    engineBytes,
+					Adapters: adapterSlots,
+					Loads:    3,
+				},
+			},
+		},
+	}
+	for number := range 5 {
+		name := "m" + strconv.Itoa(number)
+		archive.Models = append(archive.Models, configurator.Model{
+			Name:    name,
+			Version: "v",
+			Load:    loadTime6,
+		})
+		archive.Versions = append(archive.Versions, configurator.Version{
+			Model:      name,
+			Name:       "v",
+			Checkpoint: name,
+			Bytes:      modelBytes,
+		})
+		for adapter := range 9 {
+			archive.Adapters = append(archive.Adapters, configurator.Adapter{
+				Name:  fmt.Sprintf("%s/a%d", name, adapter),
+				Model: name,
+				Bytes: adapterBytes,
+			})
+		}
+	}
+	snapshot, err := archive.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot
+}
--- /dev/null
+++ b/internal/stager/stager_test.go
@@ -0,0 +1,177 @@
+package stager
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/buckthorngap/buckthorngap/internal/router"
+	"github.com/buckthorngap/buckthorngap/internal/stager/stagerpb"
+)
+
+func (f *fixture) adapter(name string) error {
+	_, err := f.loadAdapter(context.Background(), f.term, "e", "m0", "m0/"+name)
+	return err
+}
+
+func TestSequenceComesFromTheReportAndNotFromTheEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		f.engine.sequence = 7 // a former holder's orders
+		is.NoErr(f.adapter("a0"))
+		is.NoErr(f.adapter("a1"))
+		is.Equal(len(f.engine.orders), 2) // none conflicted
+		is.Equal(f.calls, 1)
+	})
+}
+
+func TestAdaptersStayWithinTheSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		for _, name := range []string{"a0", "a1", "a2"} {
+			is.NoErr(f.adapter(name))
+			time.Sleep(time.Millisecond)
+		}
+		is.True(f.adapter("a3") != nil) // all were asked for just now
+		time.Sleep(warm)
+		is.NoErr(f.adapter("a1"))
+		is.NoErr(f.adapter("a3"))
+		is.True(!f.engine.models["m0"]["m0/a0"]) // asked for longest ago
+		is.True(f.engine.models["m0"]["m0/a1"])
+		is.True(!f.engine.overfull)
+		orders := len(f.engine.orders)
+		is.NoErr(f.adapter("a3"))
+		is.Equal(len(f.engine.orders), orders) // it holds already
+	})
+}
+
+func TestAdapterInUseIsNotCountedAsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		for _, name := range []string{"a0", "a1", "a2"} {
+			is.NoErr(f.adapter(name))
+		}
+		time.Sleep(warm)
+		f.engine.stuck = true
+		is.True(f.adapter("a3") != nil)
+		is.True(!f.engine.overfull)
+	})
+}
+
+func TestOrderWithoutAnswerIsSettledByTheReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		is.NoErr(f.adapter("a0"))
+		f.engine.silent = true
+		is.True(f.adapter("a1") != nil)
+		f.engine.silent = false
+		f.engine.carryOut(f.engine.orders[len(f.engine.orders)-1]) // it was carried out late
+		is.NoErr(f.adapter("a2"))
+		is.Equal(f.calls, 2)
+		is.True(!f.engine.overfull)
+	})
+}
+
+// TestModelCountsUntilItsLoadIsDone plays the swaps that ordered an engine to
+// load more than its memory: entries show a model only once it is loaded.
+func TestModelCountsUntilItsLoadIsDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		for range 300 { // the pace of the weight store and the demand allow it
+			f.Want("m1")
+			f.Want("m2")
+			f.Want("m3")
+		}
+		for tick := range 400 {
+			for _, model := range []string{"m1", "m2", "m3"} {
+				_, _, _ = f.loadModel(context.Background(), duty(0), f.term, "engines", model)
+			}
+			if tick%12 == 0 {
+				f.tell()
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(!f.engine.overfull)
+		is.True(len(f.engine.orders) > 1)
+		time.Sleep(swapTime)
+	})
+}
+
+func TestNewHolderKeepsStillForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		f.term.Epoch = 2
+		ask := func() *stagerpb.Told {
+			return f.answer(context.Background(), &stagerpb.Ask{
+				Engine:     "e",
+				Checkpoint: "m0",
+				Adapter:    "m0/a0",
+			})
+		}
+		is.True(ask().GetRefused() != "")
+		is.Equal(len(f.engine.orders), 0)
+		time.Sleep(f.config.Quiet)
+		is.Equal(ask().GetRefused(), "")
+		f.held = false
+		is.True(ask().GetRefused() != "") // and nobody else is known to hold it
+	})
+}
+
+func TestTermIsCheckedBeforeEachOrder(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, "m0")
+	f.term.Check = func() error { return unavailable("the term has ended") }
+	is.True(f.adapter("a0") != nil)
+	is.Equal(len(f.engine.orders), 0)
+}
+
+func TestRequestsForOneAdapterShareAQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		var group sync.WaitGroup
+		began := time.Now()
+		for range 20 {
+			group.Go(func() {
+				err := f.Prepare(context.Background(), &router.Choice{
+					Upstream: "e",
+				}, router.Need{
+					Checkpoint: "m0",
+					Adapter:    "m0/a0",
+				})
+				is.NoErr(err)
+			})
+		}
+		group.Wait()
+		is.Equal(len(f.engine.orders), 1)
+		is.Equal(time.Since(began), DefaultAdapter) // all waited for the load
+	})
+}
+
+func TestDemandIsSummedAndForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		one, two := newDemand(time.Now), newDemand(time.Now)
+		for range 10 {
+			one.note("m")
+			two.note("m")
+		}
+		is.NoErr(one.take("two", two.digest()))
+		is.True(one.rates()["m"] > 1.9)
+		is.True(one.take("two", []byte("\xff")) != nil)
+		time.Sleep(demandAge + time.Second)
+		is.True(one.rates()["m"] < 1) // the peer is silent
+		time.Sleep(2 * time.Minute)
+		is.Equal(len(one.digest()), 0)
+	})
+}
