--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -59,6 +59,9 @@
 	Order func(ctx context.Context, engine storer.Instance, order stager.Order) (stager.Answer, error)
 	// Read reads an engine's own report.
 	Read func(ctx context.Context, engine storer.Instance) (reporter.Report, error)
+	// Pause is the least time between two watches of the store. It adds to the
+	// time until a configuration is in force and a leaving upstream gets no new work.
+	Pause time.Duration
 	// Quiet is how long a new holder of engines waits before its first order.
 	Quiet time.Duration
 	// Lenient lets requests that run when their key is withdrawn finish.
@@ -67,8 +70,6 @@
 
 // Document is an entry of the store that others write.
 type Document struct {
-	// Prefix is what is watched.
-	Prefix string
 	// Key is the entry's key.
 	Key string
 	// Decode reads the entry.
@@ -85,11 +86,6 @@
 	Return time.Duration
 }
 
-// upstreamPause is the least time between two watches of the upstreams, whose
-// entries change many times a second. It adds to the time until a leaving
-// upstream gets no new work.
-const upstreamPause = 500 * time.Millisecond
-
 // Front is an instance on a platform whose operators write the configuration
 // into the store and whose upstreams register themselves there. It shares the
 // path of requests, limits and duties with Instance.
@@ -102,7 +98,7 @@
 	stager    *stager.Stager
 	instances *lister.Lister
 	enlister  *enlister.Enlister
-	followers []*follower.Follower
+	follower  *follower.Follower
 	probe     *dumper.Probe
 }
 
@@ -188,25 +184,20 @@
 		Now:    f.now,
 		Log:    f.log.WithField("list", "instances"),
 	})
-	f.followers = []*follower.Follower{
-		f.follower(f.config.Configuration.Prefix, 0, f.adopter.Apply),
-		f.follower(f.config.Upstreams.Prefix, upstreamPause, f.applyUpstreams),
-		f.follower(enlister.Prefix, 0, f.instances.Apply),
-	}
-}
-
-func (f *Front) follower(prefix string, pause time.Duration, apply func(follower.Update)) *follower.Follower {
-	return follower.New(follower.Config{
-		Store:  f.store,
-		Prefix: prefix,
-		Pause:  pause,
-		Apply:  apply,
-		Log:    f.log,
+	f.follower = follower.New(follower.Config{
+		Store: f.store,
+		Pause: f.config.Pause,
+		Apply: f.apply,
+		Log:   f.log,
 	})
 }
 
-// applyUpstreams takes what changed, and shows it to the router at once.
-func (f *Front) applyUpstreams(update follower.Update) {
+// apply takes what changed in the store. One watch of everything brings
+// configuration, upstreams and instances: upstreams write so often that it
+// seldom waits, and each call is paid for.
+func (f *Front) apply(update follower.Update) {
+	f.adopter.Apply(update)
+	f.instances.Apply(update)
 	f.upstreams.Apply(update)
 	f.router.Refresh()
 }
@@ -351,6 +342,7 @@
 		f.guard.Run,
 		f.messenger.Run,
 		f.enlister.Run,
+		f.follower.Run,
 		f.tracker.Run,
 		f.holder.Run,
 		endless(f.limiter.Run),
@@ -361,9 +353,6 @@
 		f.dumper.Run,
 		f.probe.Run,
 	}
-	for _, one := range f.followers {
-		parts = append(parts, one.Run)
-	}
 	return f.run(ctx, parts)
 }
 
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -89,6 +89,9 @@
 	var changed []string
 	present := make(map[string]bool, len(update.Entries))
 	for _, entry := range update.Entries {
+		if !strings.HasPrefix(entry.Key, l.config.Prefix) {
+			continue
+		}
 		name := l.name(entry.Key)
 		present[name] = true
 		if l.put(now, name, entry) {
--- a/internal/lister/lister_test.go
+++ b/internal/lister/lister_test.go
@@ -81,6 +81,22 @@
 	is.Equal(f.names(), []string{})
 }
 
+func TestEntriesOfOthersAreNotListed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Apply(follower.Update{
+		Whole: true,
+		Entries: []storer.Entry{
+			entry("a", "", 1),
+			{
+				Key:      "other/b",
+				Revision: 2,
+			},
+		},
+	})
+	is.Equal(f.names(), []string{"a"})
+}
+
 func TestOlderEntryChangesNothing(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
--- a/internal/reporter/report.go
+++ b/internal/reporter/report.go
@@ -77,6 +77,9 @@
 	Copies []Copy `json:"copies,omitempty"`
 	// Cached tells where checkpoints are cached that are not loaded.
 	Cached map[string]Place `json:"cached,omitempty"`
+	// Busy is set while an order for a model is being carried out, where the
+	// upstream tells.
+	Busy bool `json:"busy,omitempty"`
 	// Epoch is the highest fencing number seen, if the upstream checks it.
 	Epoch uint64 `json:"epoch,omitempty"`
 	// Leaving is set once the upstream refuses new work.
--- a/internal/stager/book.go
+++ b/internal/stager/book.go
@@ -1,6 +1,7 @@
 package stager
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,8 @@
 	until time.Time
 	// target is what it loads.
 	target string
+	// busy is set if an order for a model was under way by the last report.
+	busy bool
 	// doubt is set while the sequence is not known: before the first order, and
 	// after one that conflicted or was not answered.
 	doubt bool
@@ -69,6 +72,7 @@
 func (b *book) read(report reporter.Report) {
 	b.sequence = report.Orders
 	b.held = copies(report)
+	b.busy = report.Busy
 	b.doubt = false
 }
 
@@ -76,7 +80,7 @@
 	held := make(map[string]map[string]bool, len(report.Copies))
 	for _, one := range report.Copies {
 		adapters := make(map[string]bool, len(one.Adapters))
-		for _, adapter := range one.Adapters {
+		for _, adapter := range slices.Concat(one.Adapters, one.Reading) {
 			adapters[adapter] = true
 		}
 		held[one.Checkpoint] = adapters
--- a/internal/stager/models.go
+++ b/internal/stager/models.go
@@ -261,6 +261,9 @@
 	if err := s.refresh(ctx, w.book, w.instance); err != nil {
 		return err
 	}
+	if w.book.busy {
+		return &Conflict{}
+	}
 	done := s.config.Now()
 	if !order.Unload {
 		if free := s.free(w.book.contents(done), w.instance.Service); free < w.choice.bytes {
