Count orders until an entry read later shows them; spread crowded models

An order now counts until an entry is read that is surely newer.

Copies follow demand: a model whose copies carry more than engines do on average gets another one, in place of no model's only copy.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -304,7 +304,7 @@
 // want counts a request for a model.
 func (f *Front) want(ticket queuer.Ticket) {
 	if need, ok := ticket.Value.(router.Need); ok && need.Checkpoint != "" {
-		f.stager.Want(need.Checkpoint)
+		f.stager.Want(need.Checkpoint, need.Tokens)
 	}
 }
 
--- a/internal/stager/adapters.go
+++ b/internal/stager/adapters.go
@@ -27,7 +27,7 @@
 		return time.Time{}, err
 	}
 	now := s.config.Now()
-	current := b.contents(now)
+	current := b.contents()
 	if current[checkpoint] == nil {
 		return time.Time{}, unavailable("the engine does not hold the model")
 	}
@@ -106,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	b.read(report)
+	b.read(s.config.Now(), report)
 	return nil
 }
 
--- a/internal/stager/book.go
+++ b/internal/stager/book.go
@@ -9,9 +9,9 @@
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 )
 
-// settling is how long an order of this instance counts beside what the engine
-// says of itself: entries come every second or two and are read twice a second.
-const settling = 3 * time.Second
+// settling is how old what the engine says of itself may be when it is read:
+// entries come every second or two, and are read some times a second.
+const settling = 4 * time.Second
 
 // book is what the holder of a duty knows of one engine. Its lock is held
 // through an order, since the number of accepted orders is part of the next one.
@@ -43,7 +43,8 @@
 
 // change is what one order changed.
 type change struct {
-	// until is how long it counts beside what the engine says.
+	// until is the time from which what the engine says shows it. What was read
+	// before does not, however long ago that was.
 	until      time.Time
 	checkpoint string
 	adapter    string
@@ -66,13 +67,15 @@
 	}
 	b.revision = row.Report.Sequence
 	b.held = copies(row.Report)
+	b.forget(row.Received)
 }
 
 // read takes the engine's own report, which settles a doubt.
-func (b *book) read(report reporter.Report) {
+func (b *book) read(now time.Time, report reporter.Report) {
 	b.sequence = report.Orders
 	b.held = copies(report)
 	b.busy = report.Busy
+	b.forget(now)
 	b.doubt = false
 }
 
@@ -99,7 +102,7 @@
 }
 
 // contents is what the engine holds: what it said, with the changes since.
-func (b *book) contents(now time.Time) map[string]map[string]bool {
+func (b *book) contents() map[string]map[string]bool {
 	current := make(map[string]map[string]bool, len(b.held))
 	for checkpoint, adapters := range b.held {
 		current[checkpoint] = make(map[string]bool, len(adapters))
@@ -107,18 +110,17 @@
 			current[checkpoint][adapter] = true
 		}
 	}
-	kept := b.changes[:0]
 	for _, one := range b.changes {
-		if now.After(one.until) {
-			continue
-		}
-		kept = append(kept, one)
 		one.apply(current)
 	}
-	b.changes = kept
 	return current
 }
 
+// forget drops the changes that what was read at a time shows.
+func (b *book) forget(read time.Time) {
+	b.changes = slices.DeleteFunc(b.changes, func(one change) bool { return !read.Before(one.until) })
+}
+
 func (c change) apply(current map[string]map[string]bool) {
 	switch {
 	case c.adapter == "" && c.held:
--- a/internal/stager/demand.go
+++ b/internal/stager/demand.go
@@ -15,11 +15,11 @@
 	demandMemory = 10 * time.Second
 	// demandAge is how long what a peer told counts.
 	demandAge = 5 * time.Second
-	// demandLeast is the rate below which a model is not told of, in requests a second.
-	demandLeast = 0.01
+	// demandLeast is the rate below which a model is not told of, in tokens a second.
+	demandLeast = 50
 )
 
-// average is a decaying average of requests a second.
+// average is a decaying average of tokens a second.
 type average struct {
 	value float64
 	at    time.Time
@@ -53,13 +53,13 @@
 	}
 }
 
-// note counts a request.
-func (d *demand) note(checkpoint string) {
+// note counts the tokens of a request.
+func (d *demand) note(checkpoint string, tokens int64) {
 	now := d.clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.own[checkpoint] = average{
-		value: d.own[checkpoint].now(now) + 1/demandMemory.Seconds(),
+		value: d.own[checkpoint].now(now) + float64(max(1, tokens))/demandMemory.Seconds(),
 		at:    now,
 	}
 }
@@ -111,7 +111,7 @@
 	return nil
 }
 
-// rates are the requests a second for each model, as far as known here.
+// rates are the tokens a second for each model, as far as known here.
 func (d *demand) rates() map[string]float64 {
 	now := d.clock()
 	total := map[string]float64{}
--- a/internal/stager/engine_test.go
+++ b/internal/stager/engine_test.go
@@ -199,7 +199,8 @@
 			Role:    storer.RoleEngine,
 			Service: "engines",
 		},
-		Report: report,
+		Report:   report,
+		Received: time.Now(),
 	}
 }
 
--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -12,9 +12,9 @@
 	// residence is how long a model that was loaded is kept, so that a load is
 	// worth its time.
 	residence = 8 * time.Second
-	// secondLoss is what a second of loading costs, in requests a second: it
+	// secondLoss is what a second of loading costs, in tokens a second: it
 	// prefers engines that have the weights at hand.
-	secondLoss = 0.02
+	secondLoss = 100
 )
 
 // site is an engine that a model could be loaded on.
@@ -33,7 +33,7 @@
 type tenant struct {
 	checkpoint string
 	bytes      int64
-	// rate is the demand for it, in requests a second, over all its copies.
+	// rate is the demand for it, in tokens a second, over all its copies.
 	rate   float64
 	copies int
 	// fixed is set if it must stay for now.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -207,6 +207,7 @@
 			return
 		case <-ticker.C:
 			s.watch()
+			s.spread(ctx)
 		}
 	}
 }
