Log each decision on a routed request; give callers' patience its bound

A stream that cannot start before its callers leave is refused at once; demand, told by heartbeats, decides which adapter goes; a request that its engine refused for lack of the adapter goes to it once more; an unload in use is left alone.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -236,6 +236,8 @@
 		Reserve:  f.limiter.Reserve,
 		Enter:    f.queuer.Enter,
 		Place:    f.router.Pick,
+		State:    f.router.State,
+		Return:   f.router.Return,
 		Ready:    f.router.Ready,
 		Expect: func(ctx context.Context, service, checkpoint string) (time.Time, bool) {
 			return f.stager.Expect(ctx, service, checkpoint)
@@ -304,7 +306,7 @@
 // want counts a request for a model.
 func (f *Front) want(ticket queuer.Ticket) {
 	if need, ok := ticket.Value.(router.Need); ok && need.Checkpoint != "" {
-		f.stager.Want(need.Checkpoint, need.Tokens)
+		f.stager.Want(need.Checkpoint, need.Adapter, need.Tokens)
 	}
 }
 
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -18,6 +18,8 @@
 	final bool
 	// neutral is set if the failure says nothing of the upstream's health.
 	neutral bool
+	// lacking is set if the upstream does not have what the request needs.
+	lacking bool
 	// unreached is set if no byte can have reached the upstream.
 	unreached bool
 	// reused is set if the attempt went over a connection that served others before.
--- a/internal/forwarder/routed.go
+++ b/internal/forwarder/routed.go
@@ -40,6 +40,9 @@
 	Choice *router.Choice
 	// Next chooses another upstream than those named.
 	Next func(tried []string) (*router.Choice, bool)
+	// Again chooses the same upstream once more after it has refused the request
+	// without running it; nil means never.
+	Again func(upstream string) (*router.Choice, bool)
 	// Check returns a refusal once the request must not be sent any more.
 	Check func() error
 	// Begin delivers the status and header of the answer. Length is that of the
@@ -68,6 +71,8 @@
 	// ran is set once an attempt may have run.
 	ran   bool
 	tried []string
+	// again is set once a request went to the same upstream once more.
+	again bool
 	// failure is an upstream's own failure, which the caller gets if no other
 	// upstream does better; nil if there was none.
 	failure *whole
@@ -96,12 +101,15 @@
 // next chooses the upstream of another attempt, or returns nil if there is
 // none. The error is that of Check.
 func (r *routing) next(failed *failure, last *router.Choice) (*router.Choice, error) {
-	if failed.final || r.ran && !r.routed.Repeatable || r.result.Attempts >= max(1, r.routed.Attempts) {
+	if failed.final || r.ran && !r.routed.Repeatable {
 		return nil, nil
 	}
 	if err := r.routed.Check(); err != nil {
 		return nil, err
 	}
+	if len(r.tried)+1 >= max(1, r.routed.Attempts) {
+		return r.same(failed, last), nil
+	}
 	r.tried = append(r.tried, last.Upstream)
 	next, ok := r.routed.Next(slices.Clone(r.tried))
 	if !ok {
@@ -114,6 +122,24 @@
 	return next, nil
 }
 
+// same sends a request to the upstream once more that has refused it without
+// running it: it counts as one upstream, but as another arrival.
+func (r *routing) same(failed *failure, last *router.Choice) *router.Choice {
+	if !failed.lacking || r.again || r.routed.Again == nil {
+		return nil
+	}
+	r.again = true
+	choice, ok := r.routed.Again(last.Upstream)
+	if !ok {
+		return nil
+	}
+	if !r.forwarder.config.Retry() {
+		choice.Done(router.Neutral)
+		return nil
+	}
+	return choice
+}
+
 // give ends the request after its last attempt: with an upstream's own failure
 // if there was one, else with a refusal.
 func (r *routing) give(failed *failure, err error) error {
@@ -203,7 +229,8 @@
 			code:    refuser.CodeNoUpstream,
 			detail:  "the upstream refused the request without running it",
 			unsent:  true,
-			neutral: status != http.StatusMisdirectedRequest,
+			neutral: true,
+			lacking: status == http.StatusMisdirectedRequest,
 		}
 	case status < http.StatusMultipleChoices && !reply.Receipt:
 		return &failure{
@@ -223,7 +250,7 @@
 	if failed != nil {
 		return failed
 	}
-	if !r.routed.Repeatable || r.result.Attempts >= r.routed.Attempts {
+	if !r.routed.Repeatable || len(r.tried)+1 >= r.routed.Attempts {
 		return r.finish(answer)
 	}
 	r.failure = answer
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -11,6 +11,12 @@
 	Upstream string
 	// Address is where it listens.
 	Address netip.AddrPort
+	// Busy is the number of requests that ran or waited there, Slots how many it
+	// runs at once, when it was chosen.
+	Busy  int
+	Slots int
+	// Unread is how much of the prompt it likely has to read, in tokens.
+	Unread int64
 	// Missing is set if the adapter of the request has to be loaded there first.
 	Missing bool
 
--- a/internal/router/chooser.go
+++ b/internal/router/chooser.go
@@ -106,15 +106,20 @@
 		return nil, false
 	}
 	r.budget.earn()
+	unread := int64(0)
 	if need.Prefix != 0 {
 		r.hints.set(need.Prefix, u, true)
 	}
 	if len(need.Parts) > 0 {
+		unread = u.kept.missing(need.Parts)
 		u.kept.add(need.Parts, r.config.Tokens(need.Service))
 	}
 	return &Choice{
 		Upstream: u.name,
 		Address:  address,
+		Busy:     u.busy(),
+		Slots:    u.slots(),
+		Unread:   unread,
 		Missing:  need.Adapter != "" && !u.holds(need),
 		tokens:   need.Tokens,
 		router:   r,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -144,6 +144,21 @@
 	}
 }
 
+// Return takes a place at an upstream that turned out to lack the adapter of a
+// request. It returns false if the upstream takes none.
+func (r *Router) Return(upstream string, need Need) (*Choice, bool) {
+	r.Note(upstream, need.Checkpoint, need.Adapter, false)
+	r.mu.Lock()
+	u := r.upstreams[upstream]
+	r.mu.Unlock()
+	need.Exclude = nil
+	need.Fetch = true
+	if u == nil || !r.usable(u, &need) {
+		return nil, false
+	}
+	return r.take(u, &need)
+}
+
 // Ready is the number of upstreams with a ready copy of a checkpoint.
 func (r *Router) Ready(checkpoint string) int { return len(r.index.Load().engines[checkpoint]) }
 
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -271,6 +271,13 @@
 
 func (u *upstream) load() int { return u.others + u.running }
 
+// busy is the number of requests that run or wait there.
+func (u *upstream) busy() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.load()
+}
+
 // free is the number of free slots.
 func (u *upstream) free() int {
 	u.mu.Lock()
--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -58,7 +58,7 @@
 		Choice:   choice,
 		Check:    p.check,
 		Answer:   p.answer,
-		Event:    p.event,
+		Event:    p.emit,
 	})
 	return err
 }
@@ -78,8 +78,8 @@
 	return p.control.Flush()
 }
 
-// event writes one event of a stream and sends it off.
-func (p *passage) event(data []byte) error {
+// emit writes one event of a stream and sends it off.
+func (p *passage) emit(data []byte) error {
 	if !p.begun {
 		p.begun = true
 		p.status = http.StatusOK
--- a/internal/server/entrance.go
+++ b/internal/server/entrance.go
@@ -21,8 +21,10 @@
 	if refused := p.futile(ctx); refused != nil {
 		return nil, refused
 	}
+	began := s.config.Now()
 	placement, err := s.config.Enter(ctx, ticket)
 	if err != nil {
+		p.explainWait(began)
 		return nil, err
 	}
 	choice, ok := placement.(*router.Choice)
@@ -30,6 +32,7 @@
 		return nil, refuse(refuser.CodeNoUpstream, "no upstream has room")
 	}
 	p.choice = choice
+	p.explainPlace(began)
 	return p, p.check()
 }
 
@@ -48,6 +51,7 @@
 		Value:    p.need,
 	}
 	if p.routed {
+		ticket.Deadline = p.start
 		ticket.Model = p.need.Service + "/" + p.need.Checkpoint
 	}
 	return ticket
--- a/internal/server/logger.go
+++ b/internal/server/logger.go
@@ -64,6 +64,9 @@
 	if p.result.Resumes > 0 {
 		fields["resumes"] = p.result.Resumes
 	}
+	if p.detail != "" {
+		fields["detail"] = p.detail
+	}
 	if p.cause != nil {
 		fields["cause"] = p.cause.Error()
 	}
--- a/internal/server/passage.go
+++ b/internal/server/passage.go
@@ -34,6 +34,8 @@
 	id       string
 	class    queuer.Class
 	deadline time.Time
+	// start is when the request must have been sent on, or its caller leaves.
+	start time.Time
 
 	// secrets are what the caller showed as credentials.
 	secrets []string
@@ -87,6 +89,7 @@
 	outcome refuser.Outcome
 	code    refuser.Code
 	cause   error
+	detail  string
 	writeBy time.Time
 }
 
--- a/internal/server/refusal.go
+++ b/internal/server/refusal.go
@@ -80,6 +80,7 @@
 	p.outcome = refused.Outcome
 	p.code = refused.Code
 	p.cause = refused.Cause
+	p.detail = refused.Detail
 	p.yield()
 	body := p.problem(refused)
 	if !p.begun {
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -67,7 +67,13 @@
 			return nil, refuse(refuser.CodeDeadline, "the deadline has passed")
 		}
 		p.endBy(deadline)
-		return next(p.request.Context(), p)
+		p.start = deadline
+		if bound := p.started.Add(route.Patience); route.Patience > 0 && bound.Before(deadline) {
+			p.start = bound
+		}
+		ctx, cancel := context.WithDeadline(p.request.Context(), p.start)
+		defer cancel()
+		return next(ctx, p)
 	}
 }
 
@@ -101,6 +107,7 @@
 			Service: p.service.Name,
 		}
 		if p.service.Engine == nil || p.facts.Model == "" {
+			p.explainReceipt()
 			return next(ctx, p)
 		}
 		model, ok := snapshot.Model(p.facts.Model)
@@ -121,6 +128,7 @@
 		p.need.Fetch = s.config.Prepare != nil
 		p.need.Tokens = p.facts.Prompt + p.facts.Answer
 		p.need.Parts = p.parts()
+		p.explainReceipt()
 		return next(ctx, p)
 	}
 }
@@ -162,7 +170,9 @@
 		case !p.facts.Counted:
 			p.tokens = team.Charge
 		}
+		began := s.config.Now()
 		reservation, err := s.config.Reserve(ctx, p.key.Team, p.tokens)
+		p.explainCharge(began, err)
 		if err != nil {
 			return nil, err
 		}
@@ -182,7 +192,7 @@
 		return refused
 	}
 	at, known := config.Expect(ctx, p.need.Service, p.need.Checkpoint)
-	if known && at.Before(p.deadline) {
+	if known && at.Before(p.start) {
 		return nil
 	}
 	if known {
@@ -220,6 +230,7 @@
 		Attempts:   p.route.Attempts,
 		Choice:     choice,
 		Next:       p.another,
+		Again:      func(upstream string) (*router.Choice, bool) { return p.again(ctx, upstream) },
 		Check:      p.check,
 		Begin:      p.opening,
 		Write:      p.stretch,
@@ -255,6 +266,23 @@
 // one request.
 const equipTries = 2
 
+// again takes a place at the same upstream once more, which has refused the
+// request without running it, after what it lacks was loaded.
+func (p *passage) again(ctx context.Context, upstream string) (*router.Choice, bool) {
+	if p.need.Adapter == "" || p.server.config.Return == nil {
+		return nil, false
+	}
+	choice, ok := p.server.config.Return(upstream, p.need)
+	if !ok {
+		return nil, false
+	}
+	if err := p.server.config.Prepare(ctx, choice, p.need); err != nil {
+		choice.Done(router.Neutral)
+		return nil, false
+	}
+	return choice, true
+}
+
 // another chooses an upstream for a retry; only one that has all that the
 // request needs.
 func (p *passage) another(tried []string) (*router.Choice, bool) {
@@ -307,7 +335,7 @@
 	fields["route"] = p.route.Name
 	fields["revision"] = p.server.config.Snapshot().Revision()
 	if !p.deadline.IsZero() {
-		fields["left"] = p.deadline.Sub(p.server.config.Now()).Round(time.Millisecond)
+		fields["left"] = p.left()
 	}
 	if !p.result.First.IsZero() {
 		fields["first"] = p.result.First.Sub(p.started).Round(time.Millisecond)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -56,6 +56,12 @@
 	Place func(need router.Need) (*router.Choice, bool)
 	// Lenient lets requests that run when their key is withdrawn finish.
 	Lenient bool
+	// Return takes a place at an upstream that turned out to lack the adapter of
+	// a request; nil means never.
+	Return func(upstream string, need router.Need) (*router.Choice, bool)
+	// State describes the upstreams that a routed request could go to, for its
+	// log; nil means that it is not told.
+	State func(need router.Need) router.State
 	// Ready is the number of engines that hold a checkpoint; nil means not known.
 	Ready func(checkpoint string) int
 	// Forwarder carries requests to upstreams.
--- a/internal/stager/adapters.go
+++ b/internal/stager/adapters.go
@@ -14,6 +14,9 @@
 // another: requests for it may be on their way or run.
 const warm = 500 * time.Millisecond
 
+// unloading is how long an unload that waits for requests is left alone.
+const unloading = 500 * time.Millisecond
+
 // loadAdapter has an engine load an adapter, and returns when it is ready.
 func (s *Stager) loadAdapter(ctx context.Context, term Term, engine, checkpoint, adapter string) (time.Time, error) {
 	instance, err := s.instance(engine)
@@ -36,7 +39,7 @@
 		return now, nil
 	}
 	if now.Before(b.until) {
-		return time.Time{}, unavailable("the engine is loading a model")
+		return time.Time{}, unavailable("the engine carries out another order")
 	}
 	if err := s.makeRoom(ctx, term, b, instance, adapter, current); err != nil {
 		return time.Time{}, err
@@ -70,7 +73,7 @@
 		return nil
 	}
 	now := s.config.Now()
-	checkpoint, adapter, ok := b.idlest(now, current, warm)
+	checkpoint, adapter, ok := b.idlest(now, s.demand.rates(), current, warm)
 	if !ok {
 		return unavailable("all adapters of the engine are in use")
 	}
@@ -84,7 +87,9 @@
 	}
 	s.config.Note(instance.Name, checkpoint, adapter, false)
 	if answer == Begun {
+		// The engine takes no other order until the adapter's requests have ended.
 		b.used[adapter] = now
+		b.until = now.Add(unloading)
 		return unavailable("the adapter to drop is still in use")
 	}
 	b.note(now, checkpoint, adapter, false)
--- a/internal/stager/book.go
+++ b/internal/stager/book.go
@@ -26,7 +26,7 @@
 	held map[string]map[string]bool
 	// changes are what orders of this instance changed since.
 	changes []change
-	// used is when each adapter was asked for last.
+	// used is when the load of each adapter was asked for last.
 	used map[string]time.Time
 	// loaded is when each checkpoint was loaded here by an order.
 	loaded map[string]time.Time
@@ -137,22 +137,28 @@
 	}
 }
 
-// idlest returns the adapter that was asked for longest ago, but for those
-// that were asked for within the given time.
-func (b *book) idlest(now time.Time, current map[string]map[string]bool, fresh time.Duration) (checkpoint, adapter string, ok bool) {
-	var oldest time.Time
+// idlest returns the adapter with the least demand, and of several the one that
+// was loaded here longest ago; but none that was asked for within the given time.
+func (b *book) idlest(now time.Time, rates map[string]float64, current map[string]map[string]bool, fresh time.Duration) (checkpoint, adapter string, ok bool) {
 	for held, adapters := range current {
 		for one := range adapters {
-			used := b.used[one]
-			if now.Sub(used) < fresh || ok && !used.Before(oldest) {
+			if now.Sub(b.used[one]) < fresh || ok && !b.idler(rates, one, adapter) {
 				continue
 			}
-			checkpoint, adapter, oldest, ok = held, one, used, true
+			checkpoint, adapter, ok = held, one, true
 		}
 	}
 	return checkpoint, adapter, ok
 }
 
+// idler tells whether one adapter goes before another one.
+func (b *book) idler(rates map[string]float64, one, other string) bool {
+	if rates[one] != rates[other] {
+		return rates[one] < rates[other]
+	}
+	return b.used[one].Before(b.used[other])
+}
+
 func count(current map[string]map[string]bool) int {
 	total := 0
 	for _, adapters := range current {
--- a/internal/stager/question.go
+++ b/internal/stager/question.go
@@ -132,8 +132,13 @@
 // modelTime ends a question about a model.
 const modelTime = 300 * time.Millisecond
 
-// Want counts a request for a model, by its tokens.
-func (s *Stager) Want(checkpoint string, tokens int64) { s.demand.note(checkpoint, tokens) }
+// Want counts a request for a model and its adapter, by its tokens.
+func (s *Stager) Want(checkpoint, adapter string, tokens int64) {
+	s.demand.note(checkpoint, tokens)
+	if adapter != "" {
+		s.demand.note(adapter, tokens)
+	}
+}
 
 // Digest is what this instance was asked for, for its peers.
 func (s *Stager) Digest() []byte { return s.demand.digest() }
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -68,6 +68,24 @@
 	})
 }
 
+// TestDemandedAdaptersStay plays adapters that requests find loaded, so that
+// nobody asks for their loads any more.
+func TestDemandedAdaptersStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		for _, name := range []string{"a0", "a1", "a2"} {
+			is.NoErr(f.adapter(name))
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(warm)
+		f.Want("m0", "m0/a0", 1000)
+		is.NoErr(f.adapter("a3"))
+		is.True(f.engine.models["m0"]["m0/a0"])
+		is.True(!f.engine.models["m0"]["m0/a1"])
+	})
+}
+
 func TestAdapterInUseIsNotCountedAsGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -104,9 +122,9 @@
 		is := is.New(t)
 		f := newFixture(t, "m0")
 		for range 300 { // the pace of the weight store and the demand allow it
-			f.Want("m1", 1000)
-			f.Want("m2", 1000)
-			f.Want("m3", 1000)
+			f.Want("m1", "", 1000)
+			f.Want("m2", "", 1000)
+			f.Want("m3", "", 1000)
 		}
 		for tick := range 400 {
 			for _, model := range []string{"m1", "m2", "m3"} {
--- a/pkg/configurator/checkroute.go
+++ b/pkg/configurator/checkroute.go
@@ -38,7 +38,7 @@
 	if other, ok := a.taken()[route.address()]; ok && other != route.Name {
 		return wrong("prefix", "belongs to route "+other)
 	}
-	if route.Timeout < 0 || route.Objective < 0 || route.Gap < 0 {
+	if route.Timeout < 0 || route.Objective < 0 || route.Gap < 0 || route.Patience < 0 {
 		return wrong("timeout", "and the objectives must be zero or more")
 	}
 	if route.Attempts < 0 || route.Priority < 0 {
--- a/pkg/configurator/route.go
+++ b/pkg/configurator/route.go
@@ -27,6 +27,9 @@
 	Objective time.Duration `json:"objective,omitempty"`
 	// Gap is the longest pause between events that is still in time.
 	Gap time.Duration `json:"gap,omitempty"`
+	// Patience is how long callers wait for the first event of a stream before
+	// they leave; zero means until their deadline.
+	Patience time.Duration `json:"patience,omitempty"`
 	// Attempts is the largest number of upstreams that a request is sent to;
 	// zero means one.
 	Attempts int `json:"attempts,omitempty"`
