--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -8,6 +8,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/binder"
 	"github.com/buckthorngap/buckthorngap/internal/certifier"
 	"github.com/buckthorngap/buckthorngap/internal/claimer"
+	"github.com/buckthorngap/buckthorngap/internal/clocker"
 	"github.com/buckthorngap/buckthorngap/internal/dumper"
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/holder"
@@ -74,9 +75,10 @@
 			Got:  identity.Subject.Name + " in " + identity.Subject.Domain,
 		}
 	}
+	clock := clocker.NewBoot()
 	i := &Instance{
 		started:  time.Now(),
-		now:      time.Now,
+		now:      clock.Now,
 		settings: settings,
 		identity: identity,
 		self: messenger.Sender{
@@ -95,6 +97,7 @@
 			Timeout: settings.Platform.Timeout.Duration,
 			Reads:   settings.Platform.Reads,
 			Writes:  settings.Platform.Writes,
+			Now:     clock.Now,
 		}),
 	}
 	if err := i.wireState(); err != nil {
--- a/internal/commander/operators.go
+++ b/internal/commander/operators.go
@@ -24,6 +24,7 @@
 	c.addBatch()
 	c.addService()
 	c.addUpstream()
+	c.addRoute()
 	c.addConfiguration()
 	c.addInspection()
 }
--- a/internal/commander/records.go
+++ b/internal/commander/records.go
@@ -13,12 +13,17 @@
 	name := create.Arg("name", "The team's name.").Required().String()
 	rate := create.Flag("rate", "Tokens a second.").Required().Float64()
 	burst := create.Flag("burst", "Tokens that may be saved up.").Required().Int64()
+	charge := create.Flag("charge", "Tokens of a routed request that tells none.").Int64()
+	priority := create.Flag("priority", "Rank of its requests, 0 first, before that of routes; -1 means that routes rank.").Default("-1").Int()
 	c.put(create, configurator.ActionPut, func() configurator.Operation {
 		return configurator.Operation{
 			Team: &configurator.Team{
-				Name:  *name,
-				Rate:  *rate,
-				Burst: *burst,
+				Name:     *name,
+				Rate:     *rate,
+				Burst:    *burst,
+				Charge:   *charge,
+				Ranked:   *priority >= 0,
+				Priority: max(0, *priority),
 			},
 		}
 	})
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -40,6 +40,8 @@
 	beat    atomic.Int64
 	base    time.Time
 	closing atomic.Bool
+	// helped is set while another instance would spend for this one.
+	helped atomic.Bool
 	// The fields below are for tests that remove a protection or stop the
 	// process between the check for a pause and the spending.
 	unfenced   bool
@@ -133,6 +135,7 @@
 			go l.borrowers[i].run(ctx)
 			go l.lenders[i].run(ctx)
 		}
+		go l.look(ctx)
 	}
 	ticker := time.NewTicker(l.config.Interval)
 	defer ticker.Stop()
@@ -149,8 +152,9 @@
 // Handlers returns what answers other instances, by topic.
 func (l *Limiter) Handlers() map[string]messenger.Handler {
 	return map[string]messenger.Handler{
-		Topic:     l.handle,
-		TopicPlea: l.handlePlea,
+		Topic:       l.handle,
+		TopicPlea:   l.handlePlea,
+		TopicFavour: l.handleFavour,
 	}
 }
 
@@ -229,6 +233,9 @@
 		l.metrics.admitted.Inc()
 		return nil
 	}
+	if l.rule.lends() && l.helped.Load() && !l.borrowers[l.duty(team)].ready() {
+		return l.favour(ctx, team, max(tokens, 0))
+	}
 	now := l.config.Now()
 	if l.paused(now) {
 		l.pulse(now)
@@ -287,7 +294,7 @@
 	}
 	if err := b.enqueue(now, w); err != nil {
 		l.metrics.refused.Inc()
-		return err
+		return l.truthful(b.team, err)
 	}
 	if l.rule.lends() {
 		l.borrowers[l.duty(b.team)].kick()
@@ -309,7 +316,7 @@
 	}
 	if err != nil {
 		l.metrics.refused.Inc()
-		return err
+		return l.truthful(b.team, err)
 	}
 	l.metrics.admitted.Inc()
 	return nil
@@ -368,19 +375,14 @@
 	return b
 }
 
-// Ready reports whether the instance may spend budget in every duty, so that
-// requests are not refused because it has just started. It stays false while
-// nobody holds a duty.
+// Ready reports whether the instance may spend budget in every duty, or another
+// one spends for it, so that requests are not refused because it has just
+// started.
 func (l *Limiter) Ready() bool {
 	if !l.rule.lends() {
 		return true
 	}
-	for _, b := range l.borrowers {
-		if !b.ready() {
-			return false
-		}
-	}
-	return true
+	return l.recorded() || l.helped.Load()
 }
 
 func (l *Limiter) event(name string, fields logrus.Fields) {
--- a/internal/operator/acting.go
+++ b/internal/operator/acting.go
@@ -53,7 +53,7 @@
 		withdrawals = append(withdrawals, withdrawal)
 	}
 	receipt, err := s.config.Spreader.Withdraw(ctx, withdrawals...)
-	return receiptMessage("", receipt, err), nil
+	return receiptMessage(receipt.ID, receipt, err), nil
 }
 
 // importFile withdraws what the file says is withdrawn, then puts its records.
@@ -128,25 +128,25 @@
 
 func codeOf(err error) string {
 	switch {
-	case is[*configurator.NotFound](err):
+	case holds[*configurator.NotFound](err):
 		return CodeNotFound
-	case is[*configurator.Used](err):
+	case holds[*configurator.Used](err):
 		return CodeUsed
-	case is[*configurator.Invalid](err), is[*configurator.Malformed](err):
+	case holds[*configurator.Invalid](err), holds[*configurator.Malformed](err):
 		return CodeInvalid
-	case is[*configurator.InUse](err):
+	case holds[*configurator.InUse](err):
 		return CodeInUse
-	case is[*configurator.TooLarge](err):
+	case holds[*configurator.TooLarge](err):
 		return CodeTooLarge
-	case is[*spreader.Reused](err):
+	case holds[*spreader.Reused](err):
 		return CodeReused
-	case is[*spreader.Contended](err):
+	case holds[*spreader.Contended](err):
 		return CodeContended
 	}
 	return CodeUnavailable
 }
 
-func is[T error](err error) bool {
+func holds[T error](err error) bool {
 	var target T
 	return errors.As(err, &target)
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -170,11 +170,13 @@
 	is.Equal(page.Records[0].Key.Hash, "")
 	is.True(!page.Records[0].Withdrawn)
 
-	_, err = client.Withdraw(ctx, false, configurator.Withdrawal{
+	withdrawal, err := client.Withdraw(ctx, false, configurator.Withdrawal{
 		Subject: configurator.SubjectKey,
 		Name:    "k1",
 	})
 	is.NoErr(err)
+	is.True(withdrawal.ID != "")
+	is.Equal(withdrawal.Revision, f.spreader.Current().Revision())
 	page, err = client.List(ctx, configurator.KindKey, 0, 0)
 	is.NoErr(err)
 	is.True(page.Records[0].Withdrawn)
--- a/internal/operator/records.go
+++ b/internal/operator/records.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"time"
+
 	"github.com/buckthorngap/buckthorngap/internal/operator/operatorpb"
 	"github.com/buckthorngap/buckthorngap/pkg/configurator"
 )
@@ -25,9 +27,14 @@
 	switch kind := record.GetKind().(type) {
 	case *operatorpb.Record_Team:
 		read.Team = &configurator.Team{
-			Name:  kind.Team.GetName(),
-			Rate:  kind.Team.GetRate(),
-			Burst: kind.Team.GetBurst(),
+			Name:      kind.Team.GetName(),
+			Rate:      kind.Team.GetRate(),
+			Burst:     kind.Team.GetBurst(),
+			Unlimited: kind.Team.GetUnlimited(),
+			Charge:    kind.Team.GetCharge(),
+			Flat:      kind.Team.GetFlat(),
+			Ranked:    kind.Team.GetRanked(),
+			Priority:  int(kind.Team.GetPriority()),
 		}
 	case *operatorpb.Record_Key:
 		read.Key = &configurator.Key{
@@ -49,6 +56,8 @@
 		}
 	case *operatorpb.Record_Service:
 		read.Service = readService(kind.Service)
+	case *operatorpb.Record_Route:
+		read.Route = readRoute(kind.Route)
 	case *operatorpb.Record_Upstream:
 		read.Upstream = &configurator.Upstream{
 			Name:    kind.Upstream.GetName(),
@@ -67,6 +76,9 @@
 		Replicas:      int(model.GetReplicas()),
 		AdapterBytes:  model.GetAdapterBytes(),
 		BytesPerToken: model.GetBytesPerToken(),
+		Load:          time.Duration(model.GetLoad()),
+		DiskLoad:      time.Duration(model.GetDiskLoad()),
+		MemoryLoad:    time.Duration(model.GetMemoryLoad()),
 	}
 }
 
@@ -92,11 +104,13 @@
 
 func readService(service *operatorpb.Service) *configurator.Service {
 	return &configurator.Service{
-		Name:  service.GetName(),
-		Path:  service.GetPath(),
-		Teams: service.GetTeams(),
-		Open:  service.GetOpen(),
-		Once:  service.GetOnce(),
+		Name:        service.GetName(),
+		Path:        service.GetPath(),
+		Teams:       service.GetTeams(),
+		Open:        service.GetOpen(),
+		Once:        service.GetOnce(),
+		Connections: int(service.GetConnections()),
+		Engine:      readEngine(service.GetEngine()),
 	}
 }
 
@@ -106,9 +120,14 @@
 	case operation.Team != nil:
 		message.Kind = &operatorpb.Record_Team{
 			Team: &operatorpb.Team{
-				Name:  operation.Team.Name,
-				Rate:  operation.Team.Rate,
-				Burst: operation.Team.Burst,
+				Name:      operation.Team.Name,
+				Rate:      operation.Team.Rate,
+				Burst:     operation.Team.Burst,
+				Unlimited: operation.Team.Unlimited,
+				Charge:    operation.Team.Charge,
+				Flat:      operation.Team.Flat,
+				Ranked:    operation.Team.Ranked,
+				Priority:  int32(operation.Team.Priority),
 			},
 		}
 	case operation.Key != nil:
@@ -138,6 +157,10 @@
 		message.Kind = &operatorpb.Record_Service{
 			Service: serviceMessage(*operation.Service),
 		}
+	case operation.Route != nil:
+		message.Kind = &operatorpb.Record_Route{
+			Route: routeMessage(*operation.Route),
+		}
 	case operation.Upstream != nil:
 		message.Kind = &operatorpb.Record_Upstream{
 			Upstream: &operatorpb.Upstream{
@@ -167,6 +190,9 @@
 		Replicas:      int32(model.Replicas),
 		AdapterBytes:  model.AdapterBytes,
 		BytesPerToken: model.BytesPerToken,
+		Load:          int64(model.Load),
+		DiskLoad:      int64(model.DiskLoad),
+		MemoryLoad:    int64(model.MemoryLoad),
 	}
 }
 
@@ -192,10 +218,12 @@
 
 func serviceMessage(service configurator.Service) *operatorpb.Service {
 	return &operatorpb.Service{
-		Name:  service.Name,
-		Path:  service.Path,
-		Teams: service.Teams,
-		Open:  service.Open,
-		Once:  service.Once,
+		Name:        service.Name,
+		Path:        service.Path,
+		Teams:       service.Teams,
+		Open:        service.Open,
+		Once:        service.Once,
+		Connections: int32(service.Connections),
+		Engine:      engineMessage(service.Engine),
 	}
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -150,10 +150,10 @@
 }
 
 func statusOf(err error) codes.Code {
-	if is[*Malformed](err) {
+	if holds[*Malformed](err) {
 		return codes.InvalidArgument
 	}
-	if is[*NotKept](err) {
+	if holds[*NotKept](err) {
 		return codes.NotFound
 	}
 	return codes.Internal
--- /dev/null
+++ b/internal/server/routed_test.go
@@ -0,0 +1,274 @@
+package server_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/buckthorngap/buckthorngap/internal/forwarder"
+	"github.com/buckthorngap/buckthorngap/internal/limiter"
+	"github.com/buckthorngap/buckthorngap/internal/queuer"
+	"github.com/buckthorngap/buckthorngap/internal/reporter"
+	"github.com/buckthorngap/buckthorngap/internal/router"
+	"github.com/buckthorngap/buckthorngap/internal/server"
+	"github.com/buckthorngap/buckthorngap/pkg/configurator"
+	"github.com/buckthorngap/buckthorngap/pkg/refuser"
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
+)
+
+// desk is a site whose server leads requests by route to one upstream.
+type desk struct {
+	url      string
+	snapshot *configurator.Snapshot
+
+	mu       sync.Mutex
+	seen     []*http.Request
+	bodies   []string
+	reserved []int64
+}
+
+// newDesk starts the site; answer is what the upstream does.
+func newDesk(t *testing.T, config server.Config, answer http.HandlerFunc) *desk {
+	t.Helper()
+	d := &desk{}
+	d.snapshot = d.configuration(t)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		d.mu.Lock()
+		d.seen = append(d.seen, r)
+		d.bodies = append(d.bodies, string(body))
+		d.mu.Unlock()
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		answer(w, r)
+	}))
+	t.Cleanup(upstream.Close)
+	routing := router.New(router.Config{
+		Upstreams: func() []storer.Instance {
+			return []storer.Instance{
+				{
+					Name:    "desk-1",
+					Role:    storer.RoleService,
+					Service: "desk",
+					Address: netip.MustParseAddrPort(upstream.Listener.Addr().String()),
+				},
+			}
+		},
+		Report: func(string) (reporter.Report, time.Time, bool) { return reporter.Report{}, time.Time{}, false },
+	})
+	routing.Refresh()
+	config.Snapshot = func() *configurator.Snapshot { return d.snapshot }
+	config.Reserve = d.reserve
+	config.Place = routing.Pick
+	config.Enter = func(_ context.Context, ticket queuer.Ticket) (any, error) {
+		choice, ok := routing.Pick(ticket.Value.(router.Need))
+		if !ok {
+			return nil, &refuser.Refusal{
+				Code:    refuser.CodeBusy,
+				Outcome: refuser.NotRun,
+			}
+		}
+		return choice, nil
+	}
+	config.Forwarder = forwarder.New(forwarder.Config{
+		Retry: func() bool { return true },
+	})
+	front := httptest.NewServer(server.New(config))
+	t.Cleanup(front.Close)
+	d.url = front.URL
+	return d
+}
+
+func (d *desk) reserve(_ context.Context, _ string, tokens int64) (*limiter.Reservation, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reserved = append(d.reserved, tokens)
+	return &limiter.Reservation{}, nil
+}
+
+func (d *desk) configuration(t *testing.T) *configurator.Snapshot {
+	t.Helper()
+	route := func(name string) configurator.Route {
+		return configurator.Route{
+			Name:   name,
+			Host:   "depot.example",
+			Prefix: "/" + name + "/",
+			Targets: []configurator.Target{
+				{
+					Service: "desk",
+					Weight:  1,
+				},
+			},
+		}
+	}
+	once, open, short := route("once"), route("open"), route("short")
+	once.Once = true
+	open.Open = true
+	short.Timeout = 100 * time.Millisecond
+	snapshot, err := configurator.Archive{
+		Teams: []configurator.Team{
+			{
+				Name:   "crates",
+				Charge: 200,
+			},
+		},
+		Services: []configurator.Service{
+			{
+				Name: "desk",
+			},
+		},
+		Routes: []configurator.Route{once, open, short},
+		Keys: []configurator.Key{
+			{
+				Name: "k",
+				Team: "crates",
+				Hash: hash(secret),
+			},
+		},
+	}.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot
+}
+
+// ask sends a request to the depot's host.
+func (d *desk) ask(t *testing.T, method, target, body string, fields ...string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, d.url+target, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "Depot.example:80"
+	for i := 0; i+1 < len(fields); i += 2 {
+		request.Header.Set(fields[i], fields[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err.Error()
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response, err.Error()
+	}
+	return response, string(content)
+}
+
+func TestRouteLeadsToItsService(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t, server.Config{}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Own", "1")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "logged")
+	})
+	response, body := d.ask(t, http.MethodPost, "/once/a%2Fb?x=1&y", "crate", "X-Api-Key", secret, "X-Request-Id", "r1", "X-Team", "forged")
+	is.Equal(response.StatusCode, http.StatusCreated)
+	is.Equal(body, "logged")
+	is.Equal(response.Header.Get("X-Own"), "1")
+	is.Equal(response.Header.Get("X-Request-Id"), "r1")
+	is.Equal(d.seen[0].RequestURI, "/once/a%2Fb?x=1&y")
+	is.Equal(d.seen[0].Header.Get("X-Team"), "crates")
+	is.Equal(d.seen[0].Header.Get("X-Api-Key"), "")
+	is.Equal(d.seen[0].Header.Get("X-Upstream"), "desk-1")
+	is.Equal(d.bodies[0], "crate")
+	is.Equal(d.reserved, []int64{200}) // the team's charge for a request that tells no tokens
+	_, _ = d.ask(t, http.MethodGet, "/once/", "", "X-Api-Key", secret, "X-Tokens", "300,50")
+	is.Equal(d.reserved, []int64{200, 350})
+}
+
+func TestRouteNeedsAKeyUnlessItIsOpen(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t, server.Config{}, func(http.ResponseWriter, *http.Request) {})
+	response, _ := d.ask(t, http.MethodGet, "/once/1", "")
+	is.Equal(response.StatusCode, http.StatusUnauthorized)
+	response, _ = d.ask(t, http.MethodGet, "/once/1", "", "X-Api-Key", "wrong")
+	is.Equal(response.StatusCode, http.StatusUnauthorized)
+	is.Equal(len(d.seen), 0)
+	response, _ = d.ask(t, http.MethodGet, "/open/1", "")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(len(d.reserved), 0)
+	response, _ = d.ask(t, http.MethodGet, "/none/1", "", "X-Api-Key", secret)
+	is.Equal(response.StatusCode, http.StatusNotFound)
+}
+
+func TestStatusOfARoutedRefusalTellsWhetherItRan(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t, server.Config{}, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	response, _ := d.ask(t, http.MethodPost, "/once/1", "crate", "X-Api-Key", secret)
+	is.Equal(response.StatusCode, http.StatusBadGateway) // it may have run
+	refusing := newDesk(t, server.Config{}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Run", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	response, _ = refusing.ask(t, http.MethodPost, "/once/1", "crate", "X-Api-Key", secret)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	slow := newDesk(t, server.Config{}, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	response, _ = slow.ask(t, http.MethodGet, "/short/1", "", "X-Api-Key", secret)
+	is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+	unknown := newDesk(t, server.Config{
+		Known: func() bool { return false },
+	}, func(http.ResponseWriter, *http.Request) {})
+	response, _ = unknown.ask(t, http.MethodGet, "/none/1", "")
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable) // nothing is known yet, so nothing is missing
+}
+
+func TestRoutedAnswerThatBreaksOffEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t, server.Config{}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "200000")
+		_, _ = w.Write(make([]byte, 100_000))
+		panic(http.ErrAbortHandler)
+	})
+	_, body := d.ask(t, http.MethodGet, "/open/1", "")
+	is.Equal(body, "unexpected EOF")
+}
+
+func TestMalformedFactsAreRefused(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t, server.Config{}, func(http.ResponseWriter, *http.Request) {})
+	for _, field := range []string{"X-Tokens", "X-Prompt-Parts", "X-Timeout"} {
+		response, _ := d.ask(t, http.MethodGet, "/open/1", "", field, "soon")
+		is.Equal(response.StatusCode, http.StatusBadRequest) // field
+	}
+	is.Equal(len(d.seen), 0)
+}
+
+// TestTargetThatIsNoPathIsRefused sends a target that http.ServeMux would
+// redirect or read in its own way.
+func TestTargetThatIsNoPathIsRefused(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t, server.Config{
+		Routed: true,
+	}, func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
+	is.NoErr(err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for target, status := range map[string]int{
+		"/open//x/../y":              http.StatusOK,
+		"http://depot.example/open/": http.StatusBadRequest,
+		"*":                          http.StatusBadRequest,
+	} {
+		_, err = io.WriteString(conn, "OPTIONS "+target+" HTTP/1.1\r\nHost: depot.example\r\n\r\n")
+		is.NoErr(err)
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, response.Body)
+		if target != "*" { // net/http answers that one itself
+			is.Equal(response.StatusCode, status) // target
+		}
+	}
+	is.Equal(d.seen[0].RequestURI, "/open//x/../y")
+	is.True(!errors.Is(err, io.EOF))
+}
--- a/internal/spreader/receipt.go
+++ b/internal/spreader/receipt.go
@@ -2,9 +2,10 @@
 
 // Receipt tells what an act reached.
 type Receipt struct {
-	// ID is the identity of the act; empty for a withdrawal.
+	// ID is the identity of the act, or that of a withdrawal in the log.
 	ID string
-	// Revision is the revision that the act made; zero for a withdrawal.
+	// Revision is the revision that the act made, or the one that a withdrawal
+	// was added to.
 	Revision uint64
 	// InForce is the number of instances where it is in force.
 	InForce int
--- a/internal/spreader/withdrawal.go
+++ b/internal/spreader/withdrawal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"strings"
@@ -37,12 +38,15 @@
 	}
 	go job.run(context.WithoutCancel(ctx))
 	receipt := Receipt{
-		InForce: 1,
+		ID:       "withdrawal-" + rand.Text(),
+		Revision: s.Current().Revision(),
+		InForce:  1,
 	}
 	s.push(ctx, message(s.currentSummary(), "", nil, content), &receipt)
 	receipt.Durable = job.durable()
 	metrics.GetOrCreateCounter(`buckthorngap_config_withdrawals_total`).Add(len(withdrawals))
 	s.config.Log.WithFields(logrus.Fields{
+		"id":      receipt.ID,
 		"count":   len(withdrawals),
 		"inforce": receipt.InForce,
 		"members": receipt.Members,
--- a/internal/stager/demand.go
+++ b/internal/stager/demand.go
@@ -34,7 +34,7 @@
 type demand struct {
 	clock func() time.Time
 
-	mu sync.Mutex
+	mu    sync.Mutex
 	own   map[string]average
 	peers map[string]told
 }
--- a/pkg/configurator/route_test.go
+++ b/pkg/configurator/route_test.go
@@ -88,6 +88,12 @@
 	is.True(errors.As(err, &invalid))
 }
 
+func TestServiceWithoutPathIsReachedByRoutesOnly(t *testing.T) {
+	is := is.New(t)
+	_, ok := routed(t, route("r", "", "/x/")).ServiceByPath("/y")
+	is.True(!ok)
+}
+
 func TestRoutesSurviveArchiveAndDocuments(t *testing.T) {
 	is := is.New(t)
 	snapshot := routed(t, route("r", "a.example", "/x/"))
--- a/pkg/configurator/snapshot.go
+++ b/pkg/configurator/snapshot.go
@@ -131,7 +131,7 @@
 	best := -1
 	for i := range records {
 		prefix := records[i].Path
-		if len(path) < len(prefix) || path[:len(prefix)] != prefix {
+		if prefix == "" || len(path) < len(prefix) || path[:len(prefix)] != prefix {
 			continue
 		}
 		if best < 0 || len(prefix) > len(records[best].Path) {
