--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -100,6 +101,8 @@
 	enlister  *enlister.Enlister
 	follower  *follower.Follower
 	probe     *dumper.Probe
+	// readied is what the balancer was told last.
+	readied atomic.Bool
 }
 
 // NewFront wires a Front; nothing but the socket for peers listens before Run.
@@ -238,6 +241,7 @@
 		Place:    f.router.Pick,
 		State:    f.router.State,
 		Return:   f.router.Return,
+		Lacks:    f.router.Note,
 		Ready:    f.router.Ready,
 		Expect: func(ctx context.Context, service, checkpoint string) (time.Time, bool) {
 			return f.stager.Expect(ctx, service, checkpoint)
@@ -334,8 +338,28 @@
 	f.probe = dumper.NewProbe(probe)
 }
 
+// ready tells whether the balancer should send requests, and logs each change
+// with what decided it.
 func (f *Front) ready() bool {
-	return f.adopter.Ready() && f.server.Ready() && !f.upstreams.Empty() && f.budgeted()
+	configured, serving, listed, budgeted := f.adopter.Ready(), f.server.Ready(), !f.upstreams.Empty(), f.budgeted()
+	ready := configured && serving && listed && budgeted
+	if f.readied.Swap(ready) == ready {
+		return ready
+	}
+	log := f.log.WithFields(logrus.Fields{
+		"configuration": configured,
+		"serving":       serving,
+		"upstreams":     listed,
+		"budget":        budgeted,
+		"revision":      f.adopter.Current().Revision(),
+		"since":         time.Since(f.started).Round(time.Millisecond),
+	})
+	if ready {
+		log.Info("ready")
+		return true
+	}
+	log.Warn("unready")
+	return false
 }
 
 // Run serves until the context ends, then shuts down as Instance.Run does.
--- a/internal/forwarder/routed.go
+++ b/internal/forwarder/routed.go
@@ -43,6 +43,9 @@
 	// Again chooses the same upstream once more after it has refused the request
 	// without running it; nil means never.
 	Again func(upstream string) (*router.Choice, bool)
+	// Lacks is told of an upstream that does not have what the request needs; nil
+	// means that nobody is.
+	Lacks func(upstream string)
 	// Check returns a refusal once the request must not be sent any more.
 	Check func() error
 	// Begin delivers the status and header of the answer. Length is that of the
@@ -90,6 +93,9 @@
 		}
 		r.ran = r.ran || !failed.unsent
 		r.explain(choice, failed)
+		if failed.lacking && r.routed.Lacks != nil {
+			r.routed.Lacks(choice.Upstream)
+		}
 		next, err := r.next(failed, choice)
 		if next == nil {
 			return r.give(failed, err)
--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -15,13 +15,15 @@
 	saved float64
 }
 
-// newBudget returns a budget that starts empty if it has a bound: an instance
-// that starts anew must not bring retries that its former start has used.
+// newBudget returns a budget that starts with half of its bound: an instance
+// that starts anew brings back at most that of the retries that its former start
+// has used.
 func newBudget(fraction float64, bound func() float64) *budget {
 	if bound != nil {
 		return &budget{
 			fraction: fraction,
 			bound:    bound,
+			saved:    bound() / 2,
 		}
 	}
 	return &budget{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -147,7 +147,6 @@
 // Return takes a place at an upstream that turned out to lack the adapter of a
 // request. It returns false if the upstream takes none.
 func (r *Router) Return(upstream string, need Need) (*Choice, bool) {
-	r.Note(upstream, need.Checkpoint, need.Adapter, false)
 	r.mu.Lock()
 	u := r.upstreams[upstream]
 	r.mu.Unlock()
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -231,6 +231,7 @@
 		Choice:     choice,
 		Next:       p.another,
 		Again:      func(upstream string) (*router.Choice, bool) { return p.again(ctx, upstream) },
+		Lacks:      p.lacks,
 		Check:      p.check,
 		Begin:      p.opening,
 		Write:      p.stretch,
@@ -266,6 +267,14 @@
 // one request.
 const equipTries = 2
 
+// lacks notes that an upstream does not hold what the request needs, so that no
+// other request goes there for it.
+func (p *passage) lacks(upstream string) {
+	if p.need.Checkpoint != "" && p.server.config.Lacks != nil {
+		p.server.config.Lacks(upstream, p.need.Checkpoint, p.need.Adapter, false)
+	}
+}
+
 // again takes a place at the same upstream once more, which has refused the
 // request without running it, after what it lacks was loaded.
 func (p *passage) again(ctx context.Context, upstream string) (*router.Choice, bool) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -56,6 +56,9 @@
 	Place func(need router.Need) (*router.Choice, bool)
 	// Lenient lets requests that run when their key is withdrawn finish.
 	Lenient bool
+	// Lacks notes that an upstream does not hold a checkpoint or its adapter; nil
+	// means that nobody notes it.
+	Lacks func(upstream, checkpoint, adapter string, held bool)
 	// Return takes a place at an upstream that turned out to lack the adapter of
 	// a request; nil means never.
 	Return func(upstream string, need router.Need) (*router.Choice, bool)
