Confirm loads by the engine, tell swaps in heartbeats, pass over unreachable engines

Traces: a load that took longer than its time was announced as done and all waiting requests went there (33 at one engine within a second); an unload waited for its requests while the other instances still sent there for 3 s. 51 and 67 refusals came from engines that made no connection, which counted as an attempt and took a second each.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -210,6 +210,10 @@
 	return f.instances.Upstreams(), nil
 }
 
+// dialTime is how long a connection to an upstream may take: a round trip and
+// the upstream's own work, a few milliseconds, with room for a lost packet.
+const dialTime = 300 * time.Millisecond
+
 // wireFrontRequests makes the path of a request.
 func (f *Front) wireFrontRequests() {
 	routing, callers := f.settings.Routing, f.settings.Callers
@@ -228,6 +232,7 @@
 	})
 	f.forwarder = forwarder.New(forwarder.Config{
 		Retry:   f.router.Retry,
+		Dial:    dialTime,
 		Dialect: f.config.Dialect,
 		Log:     f.log,
 	})
--- a/internal/forwarder/routed.go
+++ b/internal/forwarder/routed.go
@@ -66,6 +66,10 @@
 	return run.result, err
 }
 
+// dialTries is the number of upstreams that may turn out to be unreachable for
+// one request.
+const dialTries = 3
+
 // routing is the work on one routed request.
 type routing struct {
 	forwarder *Forwarder
@@ -74,6 +78,8 @@
 	// ran is set once an attempt may have run.
 	ran   bool
 	tried []string
+	// reached is the number of upstreams that bytes may have reached.
+	reached int
 	// again is set once a request went to the same upstream once more.
 	again bool
 	// failure is an upstream's own failure, which the caller gets if no other
@@ -87,11 +93,14 @@
 		r.result.Attempts++
 		r.result.Upstream = choice.Upstream
 		failed := r.attempt(ctx, choice)
-		choice.Done(health(failed))
+		choice.Done(routedHealth(failed))
 		if failed == nil {
 			return nil
 		}
 		r.ran = r.ran || !failed.unsent
+		if !failed.unreached {
+			r.reached++
+		}
 		r.explain(choice, failed)
 		if failed.lacking && r.routed.Lacks != nil {
 			r.routed.Lacks(choice.Upstream)
@@ -104,6 +113,15 @@
 	}
 }
 
+// routedHealth is what an attempt says of its upstream: one that cannot be
+// reached gets no other request for a while.
+func routedHealth(failed *failure) router.Result {
+	if failed != nil && failed.unreached && !failed.neutral {
+		return router.Unreachable
+	}
+	return health(failed)
+}
+
 // next chooses the upstream of another attempt, or returns nil if there is
 // none. The error is that of Check.
 func (r *routing) next(failed *failure, last *router.Choice) (*router.Choice, error) {
@@ -113,9 +131,12 @@
 	if err := r.routed.Check(); err != nil {
 		return nil, err
 	}
-	if len(r.tried)+1 >= max(1, r.routed.Attempts) {
+	if r.reached >= max(1, r.routed.Attempts) {
 		return r.same(failed, last), nil
 	}
+	if len(r.tried) >= dialTries {
+		return nil, nil
+	}
 	r.tried = append(r.tried, last.Upstream)
 	next, ok := r.routed.Next(slices.Clone(r.tried))
 	if !ok {
@@ -256,7 +277,7 @@
 	if failed != nil {
 		return failed
 	}
-	if !r.routed.Repeatable || len(r.tried)+1 >= r.routed.Attempts {
+	if !r.routed.Repeatable || r.reached+1 >= r.routed.Attempts {
 		return r.finish(answer)
 	}
 	r.failure = answer
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -44,6 +44,8 @@
 	Good
 	// Bad attempts failed.
 	Bad
+	// Unreachable attempts made no connection.
+	Unreachable
 )
 
 // Done gives the place back. Further calls do nothing.
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -343,6 +343,9 @@
 		if u.failures >= config.Failures {
 			u.until = now.Add(config.Cooling)
 		}
+	case Unreachable:
+		u.failures = max(u.failures+1, config.Failures)
+		u.until = now.Add(config.Cooling)
 	case Neutral:
 	}
 	return full
--- a/internal/stager/demand.go
+++ b/internal/stager/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 	demandMemory = 10 * time.Second
 	// demandAge is how long what a peer told counts.
 	demandAge = 5 * time.Second
+	// announcing is how long a change is told: some heartbeats.
+	announcing = 2 * time.Second
 	// demandLeast is the rate below which a model is not told of, in tokens a second.
 	demandLeast = 50
 )
@@ -34,9 +37,11 @@
 type demand struct {
 	clock func() time.Time
 
-	mu    sync.Mutex
-	own   map[string]average
-	peers map[string]told
+	mu  sync.Mutex
+	own map[string]average
+	// changes are what orders of this instance changed of late.
+	changes []announced
+	peers   map[string]told
 }
 
 // told is what a peer was asked for.
@@ -64,6 +69,25 @@
 	}
 }
 
+// announced is a change that other instances are told.
+type announced struct {
+	until  time.Time
+	change *stagerpb.Change
+}
+
+// announce tells other instances of a change for a while.
+func (d *demand) announce(change *stagerpb.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.changes = slices.DeleteFunc(d.changes, func(one announced) bool {
+		return one.change.GetEngine() == change.GetEngine() && one.change.GetCheckpoint() == change.GetCheckpoint()
+	})
+	d.changes = append(d.changes, announced{
+		until:  d.clock().Add(announcing),
+		change: change,
+	})
+}
+
 // digest is what other instances are told.
 func (d *demand) digest() []byte {
 	now := d.clock()
@@ -80,6 +104,10 @@
 			Rate:       value,
 		})
 	}
+	d.changes = slices.DeleteFunc(d.changes, func(one announced) bool { return now.After(one.until) })
+	for _, one := range d.changes {
+		message.Changes = append(message.Changes, one.change)
+	}
 	d.mu.Unlock()
 	encoded, err := proto.Marshal(message)
 	if err != nil {
@@ -88,11 +116,11 @@
 	return encoded
 }
 
-// take takes what a peer told.
-func (d *demand) take(peer string, digest []byte) error {
+// take takes what a peer told, and returns the changes.
+func (d *demand) take(peer string, digest []byte) ([]*stagerpb.Change, error) {
 	message := &stagerpb.Demand{}
 	if err := proto.Unmarshal(digest, message); err != nil {
-		return &Malformed{
+		return nil, &Malformed{
 			Cause: err,
 		}
 	}
@@ -108,7 +136,7 @@
 		at:    d.clock(),
 		rates: rates,
 	}
-	return nil
+	return message.GetChanges(), nil
 }
 
 // rates are the tokens a second for each model, as far as known here.
--- a/internal/stager/engine_test.go
+++ b/internal/stager/engine_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 // engine is a fake engine that keeps the rules of its kind: one order at a
 // time, the number of accepted orders as condition, bounds of memory and slots.
 type engine struct {
-	t        *testing.T
+	mu       sync.Mutex
 	now      func() time.Time
 	models   map[string]map[string]bool
 	coming   string
@@ -42,6 +43,7 @@
 	overfull bool
 	silent   bool
 	stuck    bool // unloads wait
+	slow     time.Duration
 }
 
 func (e *engine) settle() {
@@ -52,6 +54,8 @@
 }
 
 func (e *engine) order(_ context.Context, _ storer.Instance, order Order) (Answer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.settle()
 	e.orders = append(e.orders, order)
 	if e.silent {
@@ -91,7 +95,7 @@
 	default:
 		e.sequence++
 		e.coming = order.Checkpoint
-		e.until = e.now().Add(loadTime6)
+		e.until = e.now().Add(loadTime6 + e.slow)
 		return Begun
 	}
 }
@@ -112,6 +116,8 @@
 }
 
 func (e *engine) report() reporter.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.settle()
 	report := reporter.Report{
 		Orders: e.sequence,
@@ -132,22 +138,24 @@
 type fixture struct {
 	*Stager
 	engine   *engine
+	mu       sync.Mutex
 	row      lister.Row
 	term     Term
 	held     bool
 	revision uint64
 	calls    int
+	noted    map[string]bool
 }
 
 func newFixture(t *testing.T, models ...string) *fixture {
 	t.Helper()
 	f := &fixture{
 		engine: &engine{
-			t:      t,
 			now:    time.Now,
 			models: map[string]map[string]bool{},
 		},
-		held: true,
+		held:  true,
+		noted: map[string]bool{},
 		term: Term{
 			Epoch: 1,
 			Check: func() error { return nil },
@@ -170,14 +178,23 @@
 		Members:  func() []tracker.Member { return nil },
 		Snapshot: func() *configurator.Snapshot { return snapshot },
 		Upstreams: func() []storer.Instance {
-			return []storer.Instance{f.row.Instance}
+			return []storer.Instance{f.entry().Instance}
 		},
-		Row:   func(string) (lister.Row, bool) { return f.row, true },
+		Row:   func(string) (lister.Row, bool) { return f.entry(), true },
 		Order: f.engine.order,
 		Read: func(context.Context, storer.Instance) (reporter.Report, error) {
+			f.mu.Lock()
 			f.calls++
+			f.mu.Unlock()
 			return f.engine.report(), nil
 		},
+		Note: func(_, checkpoint, adapter string, held bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if adapter == "" {
+				f.noted[checkpoint] = held
+			}
+		},
 		Quiet: 3 * time.Second,
 		Log:   log,
 	})
@@ -185,6 +202,18 @@
 	return f
 }
 
+func (f *fixture) entry() lister.Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.row
+}
+
+func (f *fixture) isNoted(checkpoint string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.noted[checkpoint]
+}
+
 // tell has the engine write its entry.
 func (f *fixture) tell() {
 	f.revision++
@@ -192,6 +221,8 @@
 	report.Sequence = f.revision
 	report.Orders = 0 // an entry does not tell it
 	report.Start = "1"
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.row = lister.Row{
 		Instance: storer.Instance{
 			Name:    "e",
--- a/internal/stager/models.go
+++ b/internal/stager/models.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,7 +17,7 @@
 
 const (
 	// swapTime ends a swap whose unloads do not finish: longer than most requests run.
-	swapTime = 15 * time.Second
+	swapTime = 30 * time.Second
 	// swapPause is the time between tries while the engine is still unloading.
 	swapPause = 100 * time.Millisecond
 )
@@ -33,6 +34,9 @@
 	if engine, until, ok := s.loading(checkpoint); ok {
 		return engine, until, nil
 	}
+	if engine, ok := s.holding(name, service, checkpoint); ok {
+		return engine, now, nil
+	}
 	return s.begin(ctx, name, term, service, version, s.demand.rates()[checkpoint], false)
 }
 
@@ -75,7 +79,22 @@
 	return chosen.site.engine, until, nil
 }
 
-// loading finds an engine that is loading a model already.
+// holding finds an engine of a duty's group that holds a model.
+func (s *Stager) holding(name, service, checkpoint string) (string, bool) {
+	for engine, row := range s.engines(name, service) {
+		b := s.book(engine)
+		b.mu.Lock()
+		b.learn(row)
+		held := b.contents()[checkpoint] != nil
+		b.mu.Unlock()
+		if held {
+			return engine, true
+		}
+	}
+	return "", false
+}
+
+// loading finds an engine that is loading a model already, and until when at least.
 func (s *Stager) loading(checkpoint string) (string, time.Time, bool) {
 	now := s.config.Now()
 	s.mu.Lock()
@@ -88,9 +107,13 @@
 		b.mu.Lock()
 		until, target := b.until, b.target
 		b.mu.Unlock()
-		if target == checkpoint && now.Before(until.Add(settling)) {
-			return engine, until, true
+		if target != checkpoint {
+			continue
 		}
+		if earliest := now.Add(swapPause); until.Before(earliest) {
+			until = earliest // it takes longer than it should
+		}
+		return engine, until, true
 	}
 	return "", now, false
 }
@@ -123,7 +146,7 @@
 		b := s.book(engine)
 		b.mu.Lock()
 		b.learn(row)
-		current, busy, loaded := b.contents(), now.Before(b.until), b.loaded
+		current, busy, loaded := b.contents(), now.Before(b.until), maps.Clone(b.loaded)
 		b.mu.Unlock()
 		if busy || current[checkpoint] != nil || service.Engine == nil {
 			continue
@@ -213,12 +236,16 @@
 		})
 	}
 	s := w.stager
+	if err == nil {
+		w.book.mu.Lock()
+		w.book.until = s.config.Now().Add(w.choice.site.load)
+		w.book.mu.Unlock()
+		err = w.confirm(ctx)
+	}
 	now := s.config.Now()
 	w.book.mu.Lock()
-	if err != nil {
-		w.book.until, w.book.target = now, ""
-	} else {
-		w.book.until = now.Add(w.choice.site.load)
+	w.book.until, w.book.target = now, ""
+	if err == nil {
 		w.book.loaded[w.checkpoint] = now
 	}
 	w.book.mu.Unlock()
@@ -233,15 +260,29 @@
 		log.WithError(err).Warn("stage.failed")
 		return
 	}
-	log.Info("stage.loading")
-	if waiter.Pause(ctx, w.choice.site.load) {
-		s.config.Note(w.instance.Name, w.checkpoint, "", true)
+	log.Info("stage.loaded")
+	s.changed(w.instance.Name, w.checkpoint, true)
+}
+
+// confirm waits until the engine itself says that it holds the model: a load
+// takes longer while others run, and requests that come before it is done are
+// refused.
+func (w *swap) confirm(ctx context.Context) error {
+	s := w.stager
+	wait := w.choice.site.load
+	for waiter.Pause(ctx, wait) {
+		report, err := s.config.Read(ctx, w.instance)
+		if err == nil && copies(report)[w.checkpoint] != nil {
+			return nil
+		}
+		wait = swapPause
 	}
+	return ctx.Err()
 }
 
 func (w *swap) unload(ctx context.Context) error {
 	for _, victim := range w.choice.victims {
-		w.stager.config.Note(w.instance.Name, victim.checkpoint, "", false)
+		w.stager.changed(w.instance.Name, victim.checkpoint, false)
 		err := w.try(ctx, Order{
 			Unload:     true,
 			Checkpoint: victim.checkpoint,
--- a/internal/stager/question.go
+++ b/internal/stager/question.go
@@ -145,9 +145,23 @@
 
 // Deliver takes a peer's digest.
 func (s *Stager) Deliver(from messenger.Peer, digest []byte) {
-	if err := s.demand.take(from.Name, digest); err != nil {
+	changes, err := s.demand.take(from.Name, digest)
+	if err != nil {
 		s.config.Log.WithField("peer", from.Name).WithError(err).Warn("stage.malformed")
 	}
+	for _, change := range changes {
+		s.config.Note(change.GetEngine(), change.GetCheckpoint(), "", change.GetHeld())
+	}
+}
+
+// changed notes what an order of this instance changed, and tells the others.
+func (s *Stager) changed(engine, checkpoint string, held bool) {
+	s.config.Note(engine, checkpoint, "", held)
+	s.demand.announce(&stagerpb.Change{
+		Engine:     engine,
+		Checkpoint: checkpoint,
+		Held:       held,
+	})
 }
 
 // Expect asks for a model that no engine holds, and tells when one will.
@@ -181,7 +195,7 @@
 }
 
 // questionRest is for how long an answer about a model counts.
-const questionRest = 500 * time.Millisecond
+const questionRest = 200 * time.Millisecond
 
 // runModel asks the holder of the duty that is to load a model, and notes when
 // it is loaded.
@@ -197,16 +211,29 @@
 		asked.ready = s.config.Now().Add(time.Duration(told.GetWait()))
 	}
 	close(asked.done)
-	rest := max(questionRest, time.Duration(told.GetWait()))
-	waiter.Pause(ctx, rest)
-	if asked.err == nil {
-		s.config.Note(told.GetEngine(), checkpoint, "", true)
-	}
+	s.follow(ctx, told, service, checkpoint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.asking, key)
 }
 
+// follow asks again until the model is loaded, and notes that.
+func (s *Stager) follow(ctx context.Context, told *stagerpb.Told, service, checkpoint string) {
+	for tries := 0; tries < followTries; tries++ {
+		if !waiter.Pause(ctx, max(questionRest, time.Duration(told.GetWait()))) || told.GetRefused() != "" {
+			return
+		}
+		if told.GetWait() == 0 {
+			s.config.Note(told.GetEngine(), checkpoint, "", true)
+			return
+		}
+		told = s.place(ctx, service, checkpoint)
+	}
+}
+
+// followTries bounds how often a question about a model is asked again.
+const followTries = 20
+
 // place asks the holders of duties in an order on which all instances agree:
 // those first whose engines have the weights at hand. The second is asked if
 // the first cannot.
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -141,6 +141,35 @@
 	})
 }
 
+// TestModelIsReadyOnceItsEngineSaysSo plays a load that takes longer than it
+// should: requests that came at the expected time were refused by the engine.
+func TestModelIsReadyOnceItsEngineSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t)
+		f.engine.slow = 3 * time.Second
+		f.Want("m0", "", 1000)
+		_, _, err := f.loadModel(context.Background(), duty(0), f.term, "engines", "m0")
+		is.True(err != nil) // the pace of the weight store starts empty
+		time.Sleep(time.Second)
+		began := time.Now()
+		_, until, err := f.loadModel(context.Background(), duty(0), f.term, "engines", "m0")
+		is.NoErr(err)
+		is.True(until.Sub(began) >= loadTime6)
+		time.Sleep(loadTime6 + time.Second)
+		_, until, err = f.loadModel(context.Background(), duty(0), f.term, "engines", "m0")
+		is.NoErr(err)
+		is.True(until.After(time.Now())) // not yet
+		is.True(!f.isNoted("m0"))
+		time.Sleep(3 * time.Second)
+		_, until, err = f.loadModel(context.Background(), duty(0), f.term, "engines", "m0")
+		is.NoErr(err)
+		is.True(!until.After(time.Now()))
+		is.True(f.isNoted("m0"))
+		is.Equal(len(f.engine.orders), 1)
+	})
+}
+
 func TestNewHolderKeepsStillForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -201,9 +230,16 @@
 			one.note("m", 1000)
 			two.note("m", 1000)
 		}
-		is.NoErr(one.take("two", two.digest()))
+		two.announce(&stagerpb.Change{
+			Engine:     "e",
+			Checkpoint: "m",
+		})
+		changes, err := one.take("two", two.digest())
+		is.NoErr(err)
+		is.Equal(changes[0].GetEngine(), "e")
 		is.True(one.rates()["m"] > 1900)
-		is.True(one.take("two", []byte("\xff")) != nil)
+		_, err = one.take("two", []byte("\xff"))
+		is.True(err != nil)
 		time.Sleep(demandAge + time.Second)
 		is.True(one.rates()["m"] < 1000) // the peer is silent
 		time.Sleep(2 * time.Minute)
