--- a/internal/server/explain.go
+++ b/internal/server/explain.go
@@ -15,20 +15,37 @@
 	p.server.config.Log.WithFields(fields).Info(name)
 }
 
-// explainReceipt tells what came, and what the configuration says of it.
-func (p *passage) explainReceipt() {
+// explainReceipt tells what came.
+func (p *passage) explainReceipt(path string) {
 	p.event("request.received", logrus.Fields{
-		"method":   p.request.Method,
+		"method": p.request.Method,
+		"host":   p.request.Host,
+		"path":   path,
+		"length": p.request.ContentLength,
+		"remote": p.request.RemoteAddr,
+	})
+}
+
+// explainRoute tells which route it goes by, or that there is none.
+func (p *passage) explainRoute(found bool) {
+	p.event("request.routed", logrus.Fields{
+		"found":    found,
 		"route":    p.route.Name,
 		"revision": p.server.config.Snapshot().Revision(),
-		"team":     p.key.Team,
-		"service":  p.service.Name,
-		"model":    p.facts.Model,
-		"adapter":  p.facts.Adapter,
-		"prompt":   p.facts.Prompt,
-		"answer":   p.facts.Answer,
-		"bytes":    len(p.body),
-		"left":     p.left(),
+	})
+}
+
+// explainAim tells what it needs of an upstream, and what its key says.
+func (p *passage) explainAim() {
+	p.event("request.aimed", logrus.Fields{
+		"team":    p.key.Team,
+		"service": p.service.Name,
+		"model":   p.facts.Model,
+		"adapter": p.facts.Adapter,
+		"prompt":  p.facts.Prompt,
+		"answer":  p.facts.Answer,
+		"bytes":   len(p.body),
+		"left":    p.left(),
 	})
 }
 
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -42,14 +42,16 @@
 	return func(_ context.Context, request any) (any, error) {
 		p := request.(*passage)
 		path, _, _ := strings.Cut(p.request.RequestURI, "?")
+		p.explainReceipt(path)
 		if !strings.HasPrefix(path, "/") {
 			return nil, refuse(refuser.CodeBadRequest, "the target must be a path")
 		}
 		route, ok := s.config.Snapshot().RouteFor(hostOf(p.request), path)
+		p.route = route
+		p.explainRoute(ok)
 		if !ok {
 			return nil, refuse(refuser.CodeNoRoute, "no route leads to the path")
 		}
-		p.route = route
 		p.once.required = route.Once
 		facts, err := s.config.Face.Read(p.request.Header, p.started)
 		if err != nil {
@@ -107,7 +109,7 @@
 			Service: p.service.Name,
 		}
 		if p.service.Engine == nil || p.facts.Model == "" {
-			p.explainReceipt()
+			p.explainAim()
 			return next(ctx, p)
 		}
 		model, ok := snapshot.Model(p.facts.Model)
@@ -128,7 +130,7 @@
 		p.need.Fetch = s.config.Prepare != nil
 		p.need.Tokens = p.facts.Prompt + p.facts.Answer
 		p.need.Parts = p.parts()
-		p.explainReceipt()
+		p.explainAim()
 		return next(ctx, p)
 	}
 }
