Load models that no engine holds before they are asked for

The holder that would be asked first loads a model without a copy in place of a copy that is needed least, while the loads of the weight store allow it.

--- a/internal/stager/models.go
+++ b/internal/stager/models.go
@@ -37,21 +37,19 @@
 	if engine, ok := s.holding(name, service, checkpoint); ok {
 		return engine, now, nil
 	}
-	return s.begin(ctx, name, term, service, version, s.demand.rates()[checkpoint], false)
+	return s.begin(ctx, name, term, service, version, s.demand.rates()[checkpoint], 0)
 }
 
-// begin begins the load of a model for which demand is worth the given rate. A
-// further copy takes the place of no model's only one.
-func (s *Stager) begin(ctx context.Context, name string, term Term, service string, version configurator.Version, worth float64, further bool) (string, time.Time, error) {
+// begin begins the load of a model for which demand is worth the given rate. It
+// takes the place of no model that has only the given number of copies.
+func (s *Stager) begin(ctx context.Context, name string, term Term, service string, version configurator.Version, worth float64, least int) (string, time.Time, error) {
 	now := s.config.Now()
 	snapshot := s.config.Snapshot()
 	model, _ := snapshot.Model(version.Model)
 	checkpoint := version.Checkpoint
 	engines := s.engines(name, service)
 	sites := s.sites(engines, snapshot, model, checkpoint)
-	if further {
-		keepSole(sites)
-	}
+	keepFew(sites, least)
 	chosen, ok := choose(sites, version.Bytes, worth)
 	if !ok {
 		return "", now, unavailable("nothing that is asked for less can make way")
--- a/internal/stager/plan_test.go
+++ b/internal/stager/plan_test.go
@@ -54,7 +54,7 @@
 			held:   []tenant{held("b", 100, 2)},
 		},
 	}
-	keepSole(sites)
+	keepFew(sites, 1) // a request for a model that is gone waits for its load
 	chosen, ok := choose(sites, 70, 1000)
 	is.True(ok)
 	is.Equal(chosen.site.engine, "shared")
@@ -62,6 +62,21 @@
 	is.True(!ok)
 }
 
+func TestModelsWithoutCopyAreCovered(t *testing.T) {
+	is := is.New(t)
+	models := []string{"a", "b", "c", "d"}
+	rates := map[string]float64{
+		"a": 4000,
+		"c": 10,
+	}
+	copies := map[string]int{
+		"a": 3,
+	}
+	is.Equal(uncovered(models, rates, copies), []string{"c", "b", "d"})
+	is.Equal(coverWorth(models, rates), 4010.0/16)
+	is.Equal(coverWorth(nil, nil), 0.0)
+}
+
 func TestLeastDemandMakesWay(t *testing.T) {
 	is := is.New(t)
 	sites := []site{
--- a/internal/stager/spread.go
+++ b/internal/stager/spread.go
@@ -54,16 +54,6 @@
 	return wanted
 }
 
-// keepSole fixes the models that have one copy: a request for one that is gone
-// waits for its load or is refused, which costs more than crowding.
-func keepSole(sites []site) {
-	for i := range sites {
-		for j := range sites[i].held {
-			sites[i].held[j].fixed = sites[i].held[j].fixed || sites[i].held[j].copies <= 1
-		}
-	}
-}
-
 // spread begins further copies of crowded models on the engines whose duties
 // are held here. The duties take turns by the number of copies, so that one
 // holder at a time adds one.
@@ -76,6 +66,7 @@
 		for service := range s.config.Snapshot().Services() {
 			if service.Engine != nil {
 				s.spreadService(ctx, name, term, service.Name)
+				s.cover(ctx, name, term, service.Name)
 			}
 		}
 	}
@@ -96,7 +87,7 @@
 		if _, _, loading := s.loading(wanted.checkpoint); loading {
 			continue
 		}
-		engine, until, err := s.begin(ctx, name, term, service, version, wanted.worth, true)
+		engine, until, err := s.begin(ctx, name, term, service, version, wanted.worth, 1)
 		if err != nil {
 			continue
 		}
