Refuse what waits when an instance ends; refuse at once for upstreams that cannot be reached

TestDrainingInstanceRefusesWhatWaits was red (30 s without an answer). After the notice, requests without an upstream get 503 with Retry-After now; the hand-over of budget and duties and the end of the entry are bounded, as one process was still there at the end of the grace.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -245,6 +245,7 @@
 		Enter:    f.queuer.Enter,
 		Place:    f.router.Pick,
 		State:    f.router.State,
+		Rest:     f.router.Rest,
 		Return:   f.router.Return,
 		Lacks:    f.router.Note,
 		Ready:    f.router.Ready,
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -106,6 +106,10 @@
 	}
 }
 
+// leaveTime bounds the handing over of budget and duties once all requests have
+// ended: a few messages, and a call to the store for each duty.
+const leaveTime = 500 * time.Millisecond
+
 // shutDown ends the instance without cutting a request.
 func (i *Instance) shutDown(ctx context.Context) {
 	i.log.Info("draining")
@@ -114,6 +118,8 @@
 	if err := i.server.Drain(ctx); err != nil {
 		i.log.WithError(err).Warning("drain incomplete")
 	}
+	ctx, leave := context.WithTimeout(context.WithoutCancel(ctx), leaveTime)
+	defer leave()
 	i.limiter.HandBack(ctx)
 	if err := i.holder.Leave(ctx); err != nil {
 		i.log.WithError(err).Info("duty.kept")
--- a/internal/enlister/enlister.go
+++ b/internal/enlister/enlister.go
@@ -30,6 +30,8 @@
 	renewals = 3
 	// callTimeout ends one call to the store.
 	callTimeout = 2 * time.Second
+	// leaveTimeout ends the last call, which only spares others the lease.
+	leaveTimeout = 200 * time.Millisecond
 	// pause is the longest pause after a failure.
 	pause = time.Second
 )
@@ -150,7 +152,7 @@
 	if e.lease.ID == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := e.config.Store.Revoke(ctx, e.lease.ID); err != nil {
 		e.config.Log.WithError(err).Info("member.lingering")
--- a/internal/router/note_test.go
+++ b/internal/router/note_test.go
@@ -97,6 +97,31 @@
 	is.Equal(n.Ready("m"), 2) // the entries count again
 }
 
+func TestRestIsToldWhenAllUpstreamsHaveFailed(t *testing.T) {
+	is := is.New(t)
+	n := newNoted()
+	need := router.Need{
+		Checkpoint: "m",
+	}
+	for range 2 {
+		_, rests := n.Rest(need)
+		is.True(!rests)
+		choice, ok := n.pick("")
+		is.True(ok)
+		choice.Done(router.Unreachable)
+	}
+	until, rests := n.Rest(need)
+	is.True(rests)
+	is.Equal(until, n.now.Add(router.DefaultCooling))
+	n.now = until
+	_, rests = n.Rest(need)
+	is.True(!rests) // one request may try
+	_, rests = n.Rest(router.Need{
+		Checkpoint: "none",
+	})
+	is.True(!rests)
+}
+
 func TestEngineWithTheAdapterIsPreferred(t *testing.T) {
 	is := is.New(t)
 	n := newNoted()
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -3,6 +3,8 @@
 import (
 	"hash/maphash"
 	"sync"
+
+	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
 // registryShards is the number of parts of a registry.
@@ -74,5 +76,18 @@
 	}
 }
 
+// dismiss refuses the requests that wait for an upstream: they have not run, and
+// other instances will take them.
+func (s *Server) dismiss() {
+	for _, p := range s.running.all() {
+		if p.once.sent.Load() {
+			continue
+		}
+		refused := refuse(refuser.CodeStopping, "the instance is shutting down")
+		refused.RetryAt = s.config.Now()
+		p.abort(refused)
+	}
+}
+
 // Running is the number of requests that wait or run.
 func (s *Server) Running() int { return len(s.running.all()) }
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -186,7 +186,13 @@
 // futile refuses a request at once if no engine will be ready for it in time.
 func (p *passage) futile(ctx context.Context) *refuser.Refusal {
 	config := &p.server.config
-	if !p.routed || p.need.Checkpoint == "" || config.Ready == nil || config.Ready(p.need.Checkpoint) > 0 {
+	if !p.routed {
+		return nil
+	}
+	if refused := p.resting(); refused != nil {
+		return refused
+	}
+	if p.need.Checkpoint == "" || config.Ready == nil || config.Ready(p.need.Checkpoint) > 0 {
 		return nil
 	}
 	refused := refuse(refuser.CodeNoUpstream, "no engine has the model")
@@ -203,6 +209,21 @@
 	return refused
 }
 
+// resting refuses a request at once if all upstreams that could run it have
+// just failed: it would wait only to be refused.
+func (p *passage) resting() *refuser.Refusal {
+	if p.server.config.Rest == nil {
+		return nil
+	}
+	until, rests := p.server.config.Rest(p.need)
+	if !rests {
+		return nil
+	}
+	refused := refuse(refuser.CodeNoUpstream, "no upstream of the request can be reached")
+	refused.RetryAt = until
+	return refused
+}
+
 // travel carries the request to its upstream and the answer back.
 func (p *passage) travel(ctx context.Context) error {
 	if err := p.equip(ctx); err != nil {
--- a/internal/server/routed_test.go
+++ b/internal/server/routed_test.go
@@ -272,3 +272,54 @@
 	is.Equal(d.seen[0].RequestURI, "/open//x/../y")
 	is.True(!errors.Is(err, io.EOF))
 }
+
+// TestRequestForFailedUpstreamsIsRefusedAtOnce plays the incident in which
+// requests waited for engines that could not be reached until their callers left.
+func TestRequestForFailedUpstreamsIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	until := time.Now().Add(time.Minute)
+	d := newDesk(t, server.Config{
+		Rest: func(router.Need) (time.Time, bool) { return until, true },
+	}, func(http.ResponseWriter, *http.Request) {})
+	response, _ := d.ask(t, http.MethodGet, "/open/1", "")
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("Retry-After"), "60")
+	is.Equal(len(d.seen), 0)
+}
+
+// TestDrainingInstanceRefusesWhatWaits plays a rolling restart: a request that
+// waited for a model when its instance ended got no answer at all.
+func TestDrainingInstanceRefusesWhatWaits(t *testing.T) {
+	is := is.New(t)
+	entered := make(chan struct{})
+	waiting := server.New(server.Config{
+		Routed:   true,
+		Notice:   20 * time.Millisecond,
+		Snapshot: func() *configurator.Snapshot { return (&desk{}).configuration(t) },
+		Enter: func(ctx context.Context, _ queuer.Ticket) (any, error) {
+			close(entered)
+			<-ctx.Done()
+			return nil, &refuser.Refusal{
+				Code:    refuser.CodeDeadline,
+				Outcome: refuser.NotRun,
+			}
+		},
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = waiting.Serve(listener) }()
+	drained := make(chan error, 1)
+	go func() {
+		<-entered
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		drained <- waiting.Drain(ctx)
+	}()
+	d := &desk{
+		url: "http://" + listener.Addr().String(),
+	}
+	response, _ := d.ask(t, http.MethodGet, "/open/1", "")
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Header.Get("Retry-After") != "")
+	is.NoErr(<-drained)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -62,6 +62,9 @@
 	// Return takes a place at an upstream that turned out to lack the adapter of
 	// a request; nil means never.
 	Return func(upstream string, need router.Need) (*router.Choice, bool)
+	// Rest tells whether all upstreams that a routed request could go to are left
+	// alone after failures, and until when; nil means never.
+	Rest func(need router.Need) (time.Time, bool)
 	// State describes the upstreams that a routed request could go to, for its
 	// log; nil means that it is not told.
 	State func(need router.Need) router.State
@@ -201,8 +204,8 @@
 // Unready makes Ready false; requests are still served.
 func (s *Server) Unready() { s.unready.Store(true) }
 
-// Drain reports unready, accepts requests for Config.Notice, and then waits
-// until the context ends for the running ones to finish. It returns the
+// Drain reports unready, accepts requests for Config.Notice, refuses those that
+// still wait for an upstream, and then waits until the context ends for the running ones to finish. It returns the
 // context's error if some had not.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Unready()
@@ -212,6 +215,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	s.dismiss()
 	return s.http.Shutdown(ctx)
 }
 
