Tell callers when a refused load may be asked for again

A holder that refuses says when the order under way, its quiet time or the weight store's pace ends.

--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -203,9 +203,7 @@
 	if known && at.Before(p.start) {
 		return nil
 	}
-	if known {
-		refused.RetryAt = at
-	}
+	refused.RetryAt = at
 	return refused
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -47,8 +47,8 @@
 	Face Face
 	// Routed is set if every request goes by route, and no path is the product's own.
 	Routed bool
-	// Expect has a model loaded that no engine holds, and tells when it is; nil
-	// means that none can be.
+	// Expect has a model loaded that no engine holds, and tells when it is, or
+	// with false when to ask again; nil means that none can be.
 	Expect func(ctx context.Context, service, checkpoint string) (time.Time, bool)
 	// Prepare has what Choice.Missing tells of loaded; nil means that nothing can be.
 	Prepare func(ctx context.Context, choice *router.Choice, need router.Need) error
--- a/internal/stager/adapters.go
+++ b/internal/stager/adapters.go
@@ -39,7 +39,7 @@
 		return now, nil
 	}
 	if now.Before(b.until) {
-		return time.Time{}, unavailable("the engine carries out another order")
+		return time.Time{}, unavailableUntil("the engine carries out another order", b.until)
 	}
 	if err := s.makeRoom(ctx, term, b, instance, adapter, current); err != nil {
 		return time.Time{}, err
@@ -90,7 +90,7 @@
 		// The engine takes no other order until the adapter's requests have ended.
 		b.used[adapter] = now
 		b.until = now.Add(unloading)
-		return unavailable("the adapter to drop is still in use")
+		return unavailableUntil("the adapter to drop is still in use", b.until)
 	}
 	b.note(now, checkpoint, adapter, false)
 	return nil
--- a/internal/stager/errors.go
+++ b/internal/stager/errors.go
@@ -1,7 +1,9 @@
 package stager
 
 import (
+	"errors"
 	"strconv"
+	"time"
 
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
@@ -52,6 +54,8 @@
 type Unavailable struct {
 	// Reason tells why.
 	Reason string
+	// Until is when it may be loaded; zero if that is not known.
+	Until time.Time
 }
 
 // Error implements error.
@@ -69,6 +73,23 @@
 // Unwrap returns the error of the encoding.
 func (e *Malformed) Unwrap() error { return e.Cause }
 
+// unavailableUntil reports what cannot be loaded before a time.
+func unavailableUntil(reason string, until time.Time) error {
+	return &Unavailable{
+		Reason: reason,
+		Until:  until,
+	}
+}
+
+// until is when what an error is about may be loaded; zero if not known.
+func until(err error) time.Time {
+	var failed *Unavailable
+	if errors.As(err, &failed) {
+		return failed.Until
+	}
+	return time.Time{}
+}
+
 func unavailable(reason string) error {
 	return &Unavailable{
 		Reason: reason,
@@ -81,6 +102,7 @@
 		Code:    refuser.CodeNoUpstream,
 		Outcome: refuser.NotRun,
 		Detail:  "what the request needs cannot be loaded in time",
+		RetryAt: until(err),
 		Cause:   err,
 	}
 }
--- a/internal/stager/models.go
+++ b/internal/stager/models.go
@@ -56,7 +56,7 @@
 	}
 	if chosen.site.remote {
 		if p := s.pace(name, snapshot, service); p != nil && !p.take(now) {
-			return "", now, unavailable("the weight store is busy until " + p.next(now).Format(time.RFC3339Nano))
+			return "", now, unavailableUntil("the weight store is busy", p.next(now))
 		}
 	}
 	until := now.Add(chosen.site.load + swapPause)
--- a/internal/stager/question.go
+++ b/internal/stager/question.go
@@ -82,7 +82,7 @@
 	delete(s.asking, key)
 	s.mu.Unlock()
 	if told.GetRefused() != "" {
-		asked.err = unavailable(told.GetRefused())
+		asked.err = s.refused(told)
 		s.config.Log.WithFields(logrus.Fields{
 			"engine":  ask.GetEngine(),
 			"adapter": ask.GetAdapter(),
@@ -164,7 +164,8 @@
 	})
 }
 
-// Expect asks for a model that no engine holds, and tells when one will.
+// Expect asks for a model that no engine holds, and tells when one will. If
+// none will, it tells when that may be asked again, if known.
 func (s *Stager) Expect(ctx context.Context, service, checkpoint string) (time.Time, bool) {
 	ctx, cancel := context.WithTimeout(ctx, modelTime)
 	defer cancel()
@@ -174,7 +175,18 @@
 	case <-ctx.Done():
 		return time.Time{}, false
 	}
-	return asked.ready, asked.err == nil
+	if asked.err != nil {
+		return until(asked.err), false
+	}
+	return asked.ready, true
+}
+
+// refused is the error of an answer that refuses.
+func (s *Stager) refused(told *stagerpb.Told) error {
+	if told.GetWait() <= 0 {
+		return unavailable(told.GetRefused())
+	}
+	return unavailableUntil(told.GetRefused(), s.config.Now().Add(time.Duration(told.GetWait())))
 }
 
 // askModel returns the question about a model, and begins it if nobody has. A
@@ -202,7 +214,7 @@
 func (s *Stager) runModel(ctx context.Context, key string, asked *question, service, checkpoint string) {
 	told := s.place(ctx, service, checkpoint)
 	if told.GetRefused() != "" {
-		asked.err = unavailable(told.GetRefused())
+		asked.err = s.refused(told)
 		s.config.Log.WithFields(logrus.Fields{
 			"checkpoint": checkpoint,
 			"reason":     told.GetRefused(),
@@ -220,7 +232,11 @@
 // follow asks again until the model is loaded, and notes that.
 func (s *Stager) follow(ctx context.Context, told *stagerpb.Told, service, checkpoint string) {
 	for tries := 0; tries < followTries; tries++ {
-		if !waiter.Pause(ctx, max(questionRest, time.Duration(told.GetWait()))) || told.GetRefused() != "" {
+		if told.GetRefused() != "" {
+			waiter.Pause(ctx, questionRest)
+			return
+		}
+		if !waiter.Pause(ctx, max(questionRest, time.Duration(told.GetWait()))) {
 			return
 		}
 		if told.GetWait() == 0 {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -133,6 +133,7 @@
 	if rest := s.quiet(name, term); rest > 0 {
 		return &stagerpb.Told{
 			Refused: "the holder of " + name + " is new",
+			Wait:    int64(rest),
 		}
 	}
 	told := &stagerpb.Told{
@@ -147,6 +148,9 @@
 	}
 	if err != nil {
 		told.Refused = err.Error()
+		if at := until(err); !at.IsZero() {
+			told.Wait = int64(max(0, at.Sub(s.config.Now())))
+		}
 		return told
 	}
 	told.Wait = int64(max(0, ready.Sub(s.config.Now())))
