--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -69,24 +69,6 @@
 	Lenient bool
 }
 
-// Document is an entry of the store that others write.
-type Document struct {
-	// Key is the entry's key.
-	Key string
-	// Decode reads the entry.
-	Decode func(entry storer.Entry) (*configurator.Snapshot, error)
-}
-
-// Registry is a prefix of the store under which upstreams register themselves.
-type Registry struct {
-	// Prefix is what the keys begin with; the rest is the upstream's name.
-	Prefix string
-	// Decode reads one entry.
-	Decode func(entry storer.Entry) (lister.Row, error)
-	// Return is how long upstreams have to register again after an outage.
-	Return time.Duration
-}
-
 // Front is an instance on a platform whose operators write the configuration
 // into the store and whose upstreams register themselves there. It shares the
 // path of requests, limits and duties with Instance.
@@ -335,6 +317,7 @@
 			"limits":        f.limiter.Dump,
 			"waiting":       f.queuer.Dump,
 			"routing":       f.router.Dump,
+			"loads":         f.stager.Dump,
 			"requests":      f.server.Dump,
 		},
 		Log: f.log,
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -189,7 +189,8 @@
 	return kept
 }
 
-// engine finds an engine in the list, with its row.
+// instance finds an engine in the list. It returns *Unavailable for one that is not
+// there or leaves.
 func (s *Stager) instance(engine string) (storer.Instance, error) {
 	row, ok := s.config.Row(engine)
 	if !ok || row.Instance.Role != storer.RoleEngine {
