Let own requests finish while an instance drains; limits without a list of members

The product's own requests have the drain time to finish, so that only routed ones are refused. TestMeasure of admissionmeter: the loop of favours called a nil Members and ended the process. None listed is none to ask.

Ruled out: load (both fail on a quiet machine). After: both tests pass; routed requests take the same path as before.

--- a/internal/limiter/config.go
+++ b/internal/limiter/config.go
@@ -43,7 +43,7 @@
 	Term func(duty string) (Term, bool)
 	// Owner tells who holds a duty, and in which epoch.
 	Owner func(duty string) (messenger.Peer, uint64, bool)
-	// Members lists the known instances.
+	// Members lists the known instances; nil means none.
 	Members func() []tracker.Member
 	// Call sends a message to a peer.
 	Call messenger.Caller
--- a/internal/limiter/favour.go
+++ b/internal/limiter/favour.go
@@ -67,6 +67,9 @@
 
 // helpers are instances of the own failure domain that may do favours.
 func (l *Limiter) helpers() []messenger.Peer {
+	if l.config.Members == nil {
+		return nil
+	}
 	var peers []messenger.Peer
 	for _, member := range l.config.Members() {
 		if member.Domain == l.config.Domain && member.State == tracker.Alive && len(peers) < favourAsks {
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// dismiss refuses the requests that wait for an upstream: they have not run, and
-// other instances will take them.
+// dismiss refuses the routed requests that wait for an upstream: they have not
+// run, and other instances will take them.
 func (s *Server) dismiss() {
 	for _, p := range s.running.all() {
 		if p.once.sent.Load() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -204,9 +204,10 @@
 // Unready makes Ready false; requests are still served.
 func (s *Server) Unready() { s.unready.Store(true) }
 
-// Drain reports unready, accepts requests for Config.Notice, refuses those that
-// still wait for an upstream, and then waits until the context ends for the running ones to finish. It returns the
-// context's error if some had not.
+// Drain reports unready, accepts requests for Config.Notice and then waits until
+// the context ends for the others to finish; routed requests that still wait for
+// an upstream by then are refused. It returns the context's error if some had
+// not finished.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Unready()
 	timer := time.NewTimer(s.config.Notice)
@@ -215,7 +216,9 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	s.dismiss()
+	if s.config.Routed {
+		s.dismiss()
+	}
 	return s.http.Shutdown(ctx)
 }
 
