Give the hand-over what the drain time has left

The bound is now the end of the drain time, and 500 ms only if requests took all of it; on the users' platform it still ends half a second before the grace does.

--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// leaveTime bounds the handing over of budget and duties once all requests have
-// ended: a few messages, and a call to the store for each duty.
+// leaveTime is the least time for handing over budget and duties, if requests
+// took all of the drain time: a few messages, and a call to the store for each duty.
 const leaveTime = 500 * time.Millisecond
 
 // shutDown ends the instance without cutting a request.
@@ -118,7 +118,11 @@
 	if err := i.server.Drain(ctx); err != nil {
 		i.log.WithError(err).Warning("drain incomplete")
 	}
-	ctx, leave := context.WithTimeout(context.WithoutCancel(ctx), leaveTime)
+	until := time.Now().Add(leaveTime)
+	if drained, ok := ctx.Deadline(); ok && drained.After(until) {
+		until = drained
+	}
+	ctx, leave := context.WithDeadline(context.WithoutCancel(ctx), until)
 	defer leave()
 	i.limiter.HandBack(ctx)
 	if err := i.holder.Leave(ctx); err != nil {
