Elect the same holder for a seed in the tests of limits

The test is about an instance that does not hold the duty; seed 7 elected another one, since the election drew first. The loop of favours sends messages from the start, which draw from the same numbers when the scheduler runs them first, and then the instance itself is elected and confirms its own reserve, rightly: in all 6 failures seen the owner was the instance.

Holders are drawn apart from messages now, with the same numbers as before. No assertion changed.

--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -17,8 +17,11 @@
 
 // fleet runs several instances in one process under fake time.
 type fleet struct {
-	mu      sync.Mutex
-	rng     *rand.Rand
+	mu  sync.Mutex
+	rng *rand.Rand
+	// votes choose holders. They draw apart from messages, whose order the
+	// scheduler decides, so that a seed always elects the same ones.
+	votes   *rand.Rand
 	start   time.Time
 	teams   map[string]configurator.Team
 	limits  map[string][]auditor.Limit
@@ -68,6 +71,7 @@
 func newFleet(seed uint64, domains, size int, remove func(*Limiter)) *fleet {
 	f := &fleet{
 		rng:     rand.New(rand.NewPCG(seed, 1)),
+		votes:   rand.New(rand.NewPCG(seed, 1)),
 		start:   time.Now(),
 		teams:   map[string]configurator.Team{},
 		limits:  map[string][]auditor.Limit{},
@@ -214,7 +218,10 @@
 	if len(names) == 0 {
 		return
 	}
-	f.elevateNode(f.node(names[f.random(len(names))]))
+	f.mu.Lock()
+	chosen := names[f.votes.IntN(len(names))]
+	f.mu.Unlock()
+	f.elevateNode(f.node(chosen))
 }
 
 // elevateNode starts a term.
