Wait in one place

The loop of favours also asked again what its caller has just asked (whether the rule lends). Behaviour is as it was.

--- a/internal/holder/release.go
+++ b/internal/holder/release.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 // release hands one duty over.
@@ -25,11 +25,7 @@
 	}
 	state.end(0, config.Now())
 	d.lose(state)
-	timer := time.NewTimer(config.Margin)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if !waiter.Pause(ctx, config.Margin) {
 		return
 	}
 	storeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/holder/settlement.go
+++ b/internal/holder/settlement.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthorngap/buckthorngap/internal/holder/holderpb"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 const settlePause = 250 * time.Millisecond
@@ -64,12 +65,8 @@
 		if err := c.keep(ctx); err != nil {
 			return err
 		}
-		timer := time.NewTimer(settlePause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !waiter.Pause(ctx, settlePause) {
 			return ctx.Err()
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/limiter/borrower.go
+++ b/internal/limiter/borrower.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthorngap/buckthorngap/internal/limiter/limiterpb"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
+	pauser "github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 const (
@@ -75,14 +76,7 @@
 	if wait <= 0 || !b.limiter.rule.stocks() {
 		return true
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pauser.Pause(ctx, wait)
 }
 
 // kick asks for a demand at once.
--- a/internal/limiter/favour.go
+++ b/internal/limiter/favour.go
@@ -10,6 +10,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/limiter/limiterpb"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/tracker"
+	pauser "github.com/buckthorngap/buckthorngap/internal/waiter"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
@@ -142,9 +143,6 @@
 // look asks now and then whether an instance would do favours, while this one
 // is not recorded.
 func (l *Limiter) look(ctx context.Context) {
-	if !l.rule.lends() {
-		return
-	}
 	payload, err := proto.Marshal(&limiterpb.Favour{})
 	if err != nil {
 		return
@@ -158,12 +156,8 @@
 			}
 		}
 		l.helped.Store(helped)
-		timer := time.NewTimer(favourRest)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pauser.Pause(ctx, favourRest) {
 			return
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/measurer/admissionmeter/run.go
+++ b/internal/measurer/admissionmeter/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/buckthorngap/buckthorngap/internal/parser"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 const (
@@ -168,18 +169,18 @@
 // cuts the third off.
 func (s *site) disturb(ctx context.Context, span Span) {
 	step := span.Measured / 6
-	pause(ctx, span.Warm+step)
+	waiter.Pause(ctx, span.Warm+step)
 	victim := s.get("a-0")
 	victim.kill()
-	pause(ctx, min(downTime, step))
+	waiter.Pause(ctx, min(downTime, step))
 	s.boot(ctx, victim.place)
-	pause(ctx, step)
+	waiter.Pause(ctx, step)
 	frozen := s.get("b-1")
 	frozen.freeze()
-	pause(ctx, min(frozenTime, step))
+	waiter.Pause(ctx, min(frozenTime, step))
 	frozen.thaw()
 	s.setCut("c")
-	pause(ctx, min(cutTime, step))
+	waiter.Pause(ctx, min(cutTime, step))
 	s.setCut("")
 }
 
@@ -188,12 +189,3 @@
 	defer s.mu.Unlock()
 	s.cut = domain
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/measurer/admissionmeter/traffic.go
+++ b/internal/measurer/admissionmeter/traffic.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 // traffic sends the requests of one team through the instances that run.
@@ -37,7 +39,7 @@
 			break
 		}
 		if wait := time.Until(next); wait > 0 {
-			pause(ctx, wait)
+			waiter.Pause(ctx, wait)
 		}
 		tokens := int64(leastTokens + t.rng.IntN(mostTokens-leastTokens+1))
 		r := request{
@@ -65,7 +67,7 @@
 				break
 			}
 		}
-		pause(context.Background(), time.Millisecond)
+		waiter.Pause(context.Background(), time.Millisecond)
 	}
 }
 
@@ -94,6 +96,6 @@
 	if err != nil {
 		return
 	}
-	pause(ctx, r.hold)
+	waiter.Pause(ctx, r.hold)
 	reservation.Settle(r.used)
 }
--- a/internal/measurer/membermeter/duties.go
+++ b/internal/measurer/membermeter/duties.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/buckthorngap/buckthorngap/internal/emulator/platformer"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 // RunDuties measures duties by their number, with the store up and then out,
@@ -34,12 +35,12 @@
 		return err
 	}
 	defer f.stop()
-	pause(ctx, warmUp)
+	waiter.Pause(ctx, warmUp)
 	_, _ = fmt.Fprintln(out, f.dutyRow(ctx, count, "up"))
 	f.platform.Fault(platformer.Faults{
 		Outage: platformer.OutageHang,
 	})
-	pause(ctx, measure)
+	waiter.Pause(ctx, measure)
 	_, _ = fmt.Fprintln(out, f.dutyRow(ctx, count, "out"))
 	return ctx.Err()
 }
@@ -47,7 +48,7 @@
 func (f *fleet) dutyRow(ctx context.Context, count int, store string) string {
 	messages := metrics.GetOrCreateCounter(`buckthorngap_messages_sent_total{topic="dutyrenewal"}`)
 	calls, sent, cpu, start := f.platform.Counts(), messages.Get(), processor(), time.Now()
-	pause(ctx, measure)
+	waiter.Pause(ctx, measure)
 	seconds := time.Since(start).Seconds()
 	now := f.platform.Counts()
 	return fmt.Sprintf("%6d %5s %8.2f %8.2f %10.2f %4.2f", count, store,
--- a/internal/measurer/membermeter/run.go
+++ b/internal/measurer/membermeter/run.go
@@ -7,6 +7,8 @@
 	"runtime"
 	"syscall"
 	"time"
+
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 const (
@@ -60,12 +62,12 @@
 	}
 	defer f.stop()
 	if s.domains*s.members > fewMembers {
-		pause(ctx, warmUp)
+		waiter.Pause(ctx, warmUp)
 	} else {
-		pause(ctx, fewWarmUp)
+		waiter.Pause(ctx, fewWarmUp)
 	}
 	before, cpu, start := f.traffic(), processor(), time.Now()
-	pause(ctx, measureMembers)
+	waiter.Pause(ctx, measureMembers)
 	after, used := f.traffic(), processor()-cpu
 	seconds := time.Since(start).Seconds()
 	nodes := float64(s.domains * s.members)
@@ -76,15 +78,6 @@
 		float64(heap()-empty)/float64(max(after.links, 1)), float64(after.reads-before.reads)/seconds/nodes), ctx.Err()
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // heap is the memory of heap and stacks in use, in bytes.
 func heap() int64 {
 	runtime.GC()
--- a/internal/measurer/membermeter/run_test.go
+++ b/internal/measurer/membermeter/run_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 func TestFleetMeetsAndCounts(t *testing.T) {
@@ -17,7 +19,7 @@
 	is.NoErr(err)
 	defer f.stop()
 	for f.traffic().messages < 40 {
-		pause(context.Background(), measure/30)
+		waiter.Pause(context.Background(), measure/30)
 	}
 	sum := f.traffic()
 	is.True(sum.bytes > 40*headers)
--- a/internal/measurer/operationmeter/run.go
+++ b/internal/measurer/operationmeter/run.go
@@ -15,6 +15,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/parser"
 	"github.com/buckthorngap/buckthorngap/internal/prover"
 	"github.com/buckthorngap/buckthorngap/internal/starter"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 	"github.com/buckthorngap/buckthorngap/pkg/configurator"
 )
 
@@ -140,15 +141,15 @@
 
 // idle watches what control costs while no request and no act comes.
 func (r *run) idle(ctx context.Context) error {
-	if err := pause(ctx, settle); err != nil {
-		return err
+	if !waiter.Pause(ctx, settle) {
+		return ctx.Err()
 	}
 	before, err := r.observe(ctx)
 	if err != nil {
 		return err
 	}
-	if err := pause(ctx, r.config.Idle); err != nil {
-		return err
+	if !waiter.Pause(ctx, r.config.Idle) {
+		return ctx.Err()
 	}
 	after, err := r.observe(ctx)
 	if err != nil {
@@ -244,14 +245,3 @@
 }
 
 func milliseconds(microseconds int64) float64 { return float64(microseconds) / 1000 }
-
-func pause(ctx context.Context, span time.Duration) error {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/queuer"
 	"github.com/buckthorngap/buckthorngap/internal/router"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 	"github.com/buckthorngap/buckthorngap/pkg/configurator"
 )
 
@@ -210,12 +211,7 @@
 // not finished.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Unready()
-	timer := time.NewTimer(s.config.Notice)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	waiter.Pause(ctx, s.config.Notice)
 	if s.config.Routed {
 		s.dismiss()
 	}
