--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -59,9 +58,8 @@
 	config Config
 	after  storer.Revision
 	read   bool
-	lost   bool
-	fails  int
-	heard  atomic.Int64
+	// fails counts the failures since the store answered last.
+	fails int
 }
 
 // New returns a Follower that has read nothing yet.
@@ -74,14 +72,6 @@
 	}
 }
 
-// Heard is when the store answered last; zero if it never has.
-func (f *Follower) Heard() time.Time {
-	if nanoseconds := f.heard.Load(); nanoseconds != 0 {
-		return time.Unix(0, nanoseconds)
-	}
-	return time.Time{}
-}
-
 // Run follows the prefix until the context ends. It returns nil.
 func (f *Follower) Run(ctx context.Context) error {
 	f.loop(ctx)
@@ -121,17 +111,16 @@
 }
 
 func (f *Follower) answered(found storer.Changes, whole bool) {
-	regained := f.lost
-	if f.lost {
+	regained := f.fails > 0
+	if regained {
 		f.config.Log.WithFields(logrus.Fields{
 			"prefix":   f.config.Prefix,
 			"revision": found.Revision,
 			"failures": f.fails,
 		}).Info("store.regained")
 	}
-	f.lost, f.fails = false, 0
+	f.fails = 0
 	f.after = max(f.after, found.Revision)
-	f.heard.Store(f.config.Now().UnixNano())
 	if !whole && !regained && len(found.Entries)+len(found.Deleted) == 0 {
 		return
 	}
@@ -161,8 +150,7 @@
 	}
 	f.fails++
 	metrics.GetOrCreateCounter(`buckthorngap_follow_failures_total`).Inc()
-	if !f.lost {
-		f.lost = true
+	if f.fails == 1 {
 		f.config.Log.WithFields(logrus.Fields{
 			"prefix":   f.config.Prefix,
 			"revision": f.after,
