--- a/internal/router/index.go
+++ b/internal/router/index.go
@@ -5,3 +5,11 @@
 	engines  map[string][]*upstream
 	services map[string][]*upstream
 }
+
+// candidates are the upstreams that hold what a request needs, adapters aside.
+func (i *index) candidates(need *Need) []*upstream {
+	if need.Checkpoint == "" {
+		return i.services[need.Service]
+	}
+	return i.engines[need.Checkpoint]
+}
--- a/internal/router/rest.go
+++ b/internal/router/rest.go
@@ -5,11 +5,7 @@
 // Rest tells whether all upstreams that hold what a request needs are left
 // alone after failures, and until when at least. It is false if none holds it.
 func (r *Router) Rest(need Need) (time.Time, bool) {
-	index := r.index.Load()
-	candidates := index.engines[need.Checkpoint]
-	if need.Checkpoint == "" {
-		candidates = index.services[need.Service]
-	}
+	candidates := r.index.Load().candidates(&need)
 	now := r.config.Now()
 	var earliest time.Time
 	for _, u := range candidates {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -164,14 +164,11 @@
 // Pick chooses an engine and takes a place on it, until Choice.Done. It
 // returns false if none has room.
 func (r *Router) Pick(need Need) (*Choice, bool) {
-	index := r.index.Load()
-	if need.Checkpoint == "" {
-		return r.choose(index.services[need.Service], &need)
+	candidates := r.index.Load().candidates(&need)
+	if need.Checkpoint != "" && len(need.Parts) > 0 {
+		return r.cheapest(candidates, &need)
 	}
-	if len(need.Parts) > 0 {
-		return r.cheapest(index.engines[need.Checkpoint], &need)
-	}
-	return r.choose(index.engines[need.Checkpoint], &need)
+	return r.choose(candidates, &need)
 }
 
 // PickService chooses an instance of a plain service. Calls with the same pin
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -18,14 +18,9 @@
 
 // State describes the upstreams that a request could go to.
 func (r *Router) State(need Need) State {
-	index := r.index.Load()
-	candidates := index.engines[need.Checkpoint]
-	if need.Checkpoint == "" {
-		candidates = index.services[need.Service]
-	}
 	now := r.config.Now()
 	var state State
-	for _, u := range candidates {
+	for _, u := range r.index.Load().candidates(&need) {
 		state.Holding++
 		if need.Adapter != "" && !u.holds(&need) {
 			state.Lacking++
