Keep one mark of a request that was sent, and write answers once

Routed answers are begun and written by the functions that those of services use, and add what is theirs.

--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -46,7 +46,7 @@
 	}
 	choice := p.choice
 	p.choice = nil
-	p.sent = true
+	p.once.sent.Store(true)
 	p.result, err = p.server.config.Forwarder.Complete(ctx, &forwarder.Completion{
 		Request:  p.id,
 		Path:     p.request.URL.Path,
--- a/internal/server/passage.go
+++ b/internal/server/passage.go
@@ -75,7 +75,6 @@
 
 // tried is what became of the attempts.
 type tried struct {
-	sent bool
 	// unknowns counts the attempts of which it is not known whether they ran.
 	unknowns int
 	result   forwarder.Result
@@ -159,7 +158,7 @@
 // used is the number of tokens that the request is charged.
 func (p *passage) used() int64 {
 	switch {
-	case p.outcome == refuser.NotRun || !p.sent:
+	case p.outcome == refuser.NotRun || !p.once.sent.Load():
 		return 0
 	case p.result.Usage:
 		return p.result.Prompt + p.result.Generated
--- a/internal/server/refusal.go
+++ b/internal/server/refusal.go
@@ -67,7 +67,7 @@
 
 // bare is the outcome of a request of which nothing else is known.
 func (p *passage) bare() refuser.Outcome {
-	if p.sent {
+	if p.once.sent.Load() {
 		return refuser.Unknown
 	}
 	return refuser.NotRun
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -229,7 +229,6 @@
 	}
 	choice := p.choice
 	p.choice = nil
-	p.sent = true
 	p.once.sent.Store(true)
 	server := p.server
 	var err error
@@ -332,32 +331,22 @@
 
 // opening begins the answer of an upstream.
 func (p *passage) opening(status int, header http.Header, length int64) {
-	p.begun = true
-	p.status = status
 	own := p.writer.Header()
 	// net/http would add these, and they would not be the upstream's.
 	own["Date"] = nil
 	own["Content-Type"] = nil
-	for name, values := range header {
-		own[name] = values
-	}
 	if length >= 0 {
 		own.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	p.boundWrite()
-	p.writer.WriteHeader(status)
+	p.head(status, header)
 }
 
 // stretch writes a part of the answer; that of a stream goes off at once.
 func (p *passage) stretch(data []byte) error {
-	p.boundWrite()
-	if _, err := p.writer.Write(data); err != nil {
+	if err := p.part(data); err != nil || !p.route.Stream {
 		return err
 	}
-	if p.route.Stream {
-		return p.control.Flush()
-	}
-	return nil
+	return p.control.Flush()
 }
 
 // describeRoute adds to the line of a request what decided about it.
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -118,7 +118,6 @@
 func (p *passage) serve(ctx context.Context) error {
 	choice := p.choice
 	p.choice = nil
-	p.sent = true
 	p.once.sent.Store(true)
 	var err error
 	p.result, err = p.server.config.Forwarder.Serve(ctx, &forwarder.Call{
@@ -140,7 +139,7 @@
 	return err
 }
 
-// head begins the answer of a service.
+// head begins the answer of a service or route.
 func (p *passage) head(status int, header http.Header) {
 	p.begun = true
 	p.status = status
@@ -152,7 +151,7 @@
 	p.writer.WriteHeader(status)
 }
 
-// part writes a part of the answer of a service.
+// part writes a part of the answer of a service or route.
 func (p *passage) part(data []byte) error {
 	p.boundWrite()
 	_, err := p.writer.Write(data)
