Deliver answers of services as those of routes

The answer of a routed request was read ahead and passed on by new code beside the loop that calls of services had. Both read up to answerBuffer now, begin, and pass on the rest with the same function. The bytes are the same; the rest of a service's long answer goes on as it comes, in parts of up to 16 KiB, instead of gathered to 64 KiB.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -11,9 +10,6 @@
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
-// answerBuffer is how much of a service's answer is read before it is delivered, in bytes.
-const answerBuffer = 64 << 10
-
 // Call is a call of a plain service.
 type Call struct {
 	// Request is the identity of the request in logs.
@@ -113,33 +109,12 @@
 			neutral: true,
 		}
 	}
-	return f.copy(ctx, c, response)
-}
-
-// copy delivers an answer. A short one is read to its end first, so that the
-// call can be repeated if it breaks.
-func (f *Forwarder) copy(ctx context.Context, c *Call, response *http.Response) *failure {
-	buffer := make([]byte, 0, 512)
-	buffer, err := readUpTo(response.Body, buffer, answerBuffer)
-	ended := errors.Is(err, io.EOF)
-	if err != nil && !ended {
-		return broken(ctx, err, false)
-	}
-	c.Begin(response.StatusCode, answerHeaders(response.Header))
-	if err := c.Write(buffer); err != nil {
-		return callerGone(err)
-	}
-	for !ended {
-		buffer, err = readUpTo(response.Body, buffer[:0], answerBuffer)
-		ended = errors.Is(err, io.EOF)
-		if err != nil && !ended {
-			return broken(ctx, err, true)
-		}
-		if err := c.Write(buffer); err != nil {
-			return callerGone(err)
-		}
+	answer, failed := readWhole(ctx, response)
+	if failed != nil {
+		return failed
 	}
-	return nil
+	c.Begin(answer.status, answer.header)
+	return answer.deliver(c.Write)
 }
 
 // broken is the failure of an answer that broke off.
--- a/internal/forwarder/routed.go
+++ b/internal/forwarder/routed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 
@@ -302,15 +301,8 @@
 }
 
 func (r *routing) finish(answer *whole) *failure {
-	err := answer.deliver(r.routed)
-	if err == nil {
-		return nil
-	}
-	var failed *failure
-	if errors.As(err, &failed) {
-		return failed
-	}
-	return callerGone(err)
+	r.routed.Begin(answer.status, answer.header, answer.length)
+	return answer.deliver(r.routed.Write)
 }
 
 // stream delivers an answer as it comes.
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -8,8 +8,13 @@
 	"sync"
 )
 
-// streamBuffer is the largest part of a stream that is passed on at once, in bytes.
-const streamBuffer = 16 << 10
+const (
+	// answerBuffer is how much of an answer is read before it is delivered, so that
+	// the request can be repeated if it breaks, in bytes.
+	answerBuffer = 64 << 10
+	// streamBuffer is the largest part of a stream that is passed on at once, in bytes.
+	streamBuffer = 16 << 10
+)
 
 var streamBuffers = sync.Pool{
 	New: func() any { return new([streamBuffer]byte) },
@@ -26,7 +31,7 @@
 	rest   io.Reader
 }
 
-// readWhole reads an answer up to answerBuffer.
+// readWhole reads an answer, a long one up to answerBuffer.
 func readWhole(ctx context.Context, response *http.Response) (*whole, *failure) {
 	answer := &whole{
 		ctx:    ctx,
@@ -46,12 +51,10 @@
 	return answer, nil
 }
 
-// deliver passes the answer on. Errors of reading the rest are *failure, those
-// of the caller as they came.
-func (w *whole) deliver(c *Routed) error {
-	c.Begin(w.status, w.header, w.length)
-	if err := c.Write(w.body); err != nil {
-		return err
+// deliver passes the body on.
+func (w *whole) deliver(write func(part []byte) error) *failure {
+	if err := write(w.body); err != nil {
+		return callerGone(err)
 	}
 	if w.rest == nil {
 		return nil
@@ -61,8 +64,8 @@
 	for {
 		n, err := w.rest.Read(buffer[:])
 		if n > 0 {
-			if err := c.Write(buffer[:n]); err != nil {
-				return err
+			if err := write(buffer[:n]); err != nil {
+				return callerGone(err)
 			}
 		}
 		if errors.Is(err, io.EOF) {
