Ask for adapters and models, and add copies, in one way each

Questions about adapters and about models were opened, waited for and answered by two copies of the same code; spread and cover had the same steps from whose turn it is to the line of the log. The line of stage.covered now tells the copies too, which are none.

--- a/internal/stager/cover.go
+++ b/internal/stager/cover.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-
-	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -49,35 +47,21 @@
 }
 
 // cover begins the load of a model that no engine holds, in place of a copy
-// that is needed least: its first request would wait for the weight store. The
-// duty that would be asked for the model first does so.
+// that is needed least: its first request would wait for the weight store.
 func (s *Stager) cover(ctx context.Context, name string, term Term, service string) {
-	snapshot := s.config.Snapshot()
-	found, _ := snapshot.Service(service)
+	found, _ := s.config.Snapshot().Service(service)
 	if found.Engine == nil || s.count(service) == 0 {
 		return
 	}
 	rates, copies := s.demand.rates(), s.copies()
 	for _, checkpoint := range uncovered(found.Engine.Models, rates, copies) {
-		targets := s.targets(service, checkpoint)
-		if len(targets) == 0 || targets[0].domain != s.config.Self.Domain || duty(targets[0].number) != name {
-			continue
-		}
-		version, ok := snapshot.VersionByCheckpoint(checkpoint)
-		if _, _, loading := s.loading(checkpoint); !ok || loading {
-			continue
+		wanted := want{
+			checkpoint: checkpoint,
+			worth:      max(rates[checkpoint], coverWorth(found.Engine.Models, rates)),
 		}
-		worth := max(rates[checkpoint], coverWorth(found.Engine.Models, rates))
-		engine, until, err := s.begin(ctx, name, term, service, version, worth, coverLeast)
-		if err != nil {
-			continue
+		if log, ok := s.add(ctx, name, term, service, wanted, coverLeast); ok {
+			log.Info("stage.covered")
+			return
 		}
-		s.config.Log.WithFields(logrus.Fields{
-			"checkpoint": checkpoint,
-			"worth":      worth,
-			"engine":     engine,
-			"until":      until,
-		}).Info("stage.covered")
-		return
 	}
 }
--- a/internal/stager/models.go
+++ b/internal/stager/models.go
@@ -96,10 +96,7 @@
 func (s *Stager) loading(checkpoint string) (string, time.Time, bool) {
 	now := s.config.Now()
 	s.mu.Lock()
-	books := make(map[string]*book, len(s.books))
-	for engine, b := range s.books {
-		books[engine] = b
-	}
+	books := maps.Clone(s.books)
 	s.mu.Unlock()
 	for engine, b := range books {
 		b.mu.Lock()
--- a/internal/stager/question.go
+++ b/internal/stager/question.go
@@ -25,6 +25,50 @@
 	err   error
 }
 
+// wait waits for the answer. Its error is that of the question or the context.
+func (q *question) wait(ctx context.Context) error {
+	select {
+	case <-q.done:
+		return q.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// open returns the question of a key, and begins it if nobody has: ask is to
+// answer it and to close it once it no longer counts.
+func (s *Stager) open(key string, ask func(asked *question)) *question {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if asked := s.asking[key]; asked != nil {
+		return asked
+	}
+	asked := &question{
+		done: make(chan struct{}),
+	}
+	s.asking[key] = asked
+	go ask(asked)
+	return asked
+}
+
+// close lets the next request ask anew.
+func (s *Stager) close(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asking, key)
+}
+
+// conclude answers a question with what a holder told.
+func (s *Stager) conclude(asked *question, told *stagerpb.Told, log logrus.FieldLogger) {
+	defer close(asked.done)
+	if told.GetRefused() == "" {
+		asked.ready = s.config.Now().Add(time.Duration(told.GetWait()))
+		return
+	}
+	asked.err = s.refused(told)
+	log.WithField("reason", told.GetRefused()).Info("stage.refused")
+}
+
 // Prepare has the adapter that a request needs loaded at the engine that was
 // chosen for it, and returns once it is ready. It returns a *refuser.Refusal if
 // it is not in time.
@@ -32,13 +76,8 @@
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	asked := s.ask(ctx, choice.Upstream, need)
-	select {
-	case <-asked.done:
-	case <-ctx.Done():
-		return refusal(ctx.Err())
-	}
-	if asked.err != nil {
-		return refusal(asked.err)
+	if err := asked.wait(ctx); err != nil {
+		return refusal(err)
 	}
 	rest := asked.ready.Sub(s.config.Now())
 	if rest > 0 && !waiter.Pause(ctx, rest) {
@@ -50,22 +89,14 @@
 // ask returns the question about an adapter, and begins it if nobody has.
 func (s *Stager) ask(ctx context.Context, engine string, need router.Need) *question {
 	key := engine + " " + need.Adapter
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if asked := s.asking[key]; asked != nil {
-		return asked
-	}
-	asked := &question{
-		done: make(chan struct{}),
-	}
-	s.asking[key] = asked
-	go s.run(context.WithoutCancel(ctx), key, asked, &stagerpb.Ask{
-		Engine:     engine,
-		Checkpoint: need.Checkpoint,
-		Adapter:    need.Adapter,
-		Duty:       uint32(s.group(engine)),
+	return s.open(key, func(asked *question) {
+		s.run(context.WithoutCancel(ctx), key, asked, &stagerpb.Ask{
+			Engine:     engine,
+			Checkpoint: need.Checkpoint,
+			Adapter:    need.Adapter,
+			Duty:       uint32(s.group(engine)),
+		})
 	})
-	return asked
 }
 
 // run asks the holder of the engine's duty.
@@ -78,21 +109,14 @@
 	} else {
 		told.Refused = "the engine is not listed"
 	}
-	s.mu.Lock()
-	delete(s.asking, key)
-	s.mu.Unlock()
-	if told.GetRefused() != "" {
-		asked.err = s.refused(told)
-		s.config.Log.WithFields(logrus.Fields{
-			"engine":  ask.GetEngine(),
-			"adapter": ask.GetAdapter(),
-			"reason":  told.GetRefused(),
-		}).Info("stage.refused")
-	} else {
-		asked.ready = s.config.Now().Add(time.Duration(told.GetWait()))
+	s.close(key)
+	if told.GetRefused() == "" {
 		s.config.Note(ask.GetEngine(), ask.GetCheckpoint(), ask.GetAdapter(), true)
 	}
-	close(asked.done)
+	s.conclude(asked, told, s.config.Log.WithFields(logrus.Fields{
+		"engine":  ask.GetEngine(),
+		"adapter": ask.GetAdapter(),
+	}))
 }
 
 // reach asks the holder of a duty of a failure domain, of another one through
@@ -170,13 +194,8 @@
 	ctx, cancel := context.WithTimeout(ctx, modelTime)
 	defer cancel()
 	asked := s.askModel(ctx, service, checkpoint)
-	select {
-	case <-asked.done:
-	case <-ctx.Done():
-		return time.Time{}, false
-	}
-	if asked.err != nil {
-		return until(asked.err), false
+	if err := asked.wait(ctx); err != nil {
+		return until(err), false
 	}
 	return asked.ready, true
 }
@@ -193,17 +212,9 @@
 // question stays for a while, so that not every request asks anew.
 func (s *Stager) askModel(ctx context.Context, service, checkpoint string) *question {
 	key := "model " + checkpoint
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if asked := s.asking[key]; asked != nil {
-		return asked
-	}
-	asked := &question{
-		done: make(chan struct{}),
-	}
-	s.asking[key] = asked
-	go s.runModel(context.WithoutCancel(ctx), key, asked, service, checkpoint)
-	return asked
+	return s.open(key, func(asked *question) {
+		s.runModel(context.WithoutCancel(ctx), key, asked, service, checkpoint)
+	})
 }
 
 // questionRest is for how long an answer about a model counts.
@@ -213,20 +224,9 @@
 // it is loaded.
 func (s *Stager) runModel(ctx context.Context, key string, asked *question, service, checkpoint string) {
 	told := s.place(ctx, service, checkpoint)
-	if told.GetRefused() != "" {
-		asked.err = s.refused(told)
-		s.config.Log.WithFields(logrus.Fields{
-			"checkpoint": checkpoint,
-			"reason":     told.GetRefused(),
-		}).Info("stage.refused")
-	} else {
-		asked.ready = s.config.Now().Add(time.Duration(told.GetWait()))
-	}
-	close(asked.done)
+	s.conclude(asked, told, s.config.Log.WithField("checkpoint", checkpoint))
 	s.follow(ctx, told, service, checkpoint)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.asking, key)
+	s.close(key)
 }
 
 // follow asks again until the model is loaded, and notes that.
--- a/internal/stager/spread.go
+++ b/internal/stager/spread.go
@@ -17,11 +17,12 @@
 	crowdLeast = 2000
 )
 
-// want is a model that should have another copy.
+// want is a model that should have a first or another copy.
 type want struct {
 	checkpoint string
 	copies     int
-	// worth is what the copy takes off each of the others, in tokens a second.
+	// worth is what the copy is worth, in tokens a second: beside others, what it
+	// takes off each of them.
 	worth float64
 }
 
@@ -73,35 +74,44 @@
 }
 
 func (s *Stager) spreadService(ctx context.Context, name string, term Term, service string) {
-	snapshot := s.config.Snapshot()
 	for _, wanted := range wanting(s.demand.rates(), s.copies(), s.count(service)) {
-		targets := s.targets(service, wanted.checkpoint)
-		version, ok := snapshot.VersionByCheckpoint(wanted.checkpoint)
-		if !ok || len(targets) == 0 {
-			continue
-		}
-		turn := targets[wanted.copies%len(targets)]
-		if turn.domain != s.config.Self.Domain || duty(turn.number) != name {
-			continue
-		}
-		if _, _, loading := s.loading(wanted.checkpoint); loading {
-			continue
-		}
-		engine, until, err := s.begin(ctx, name, term, service, version, wanted.worth, 1)
-		if err != nil {
-			continue
+		if log, ok := s.add(ctx, name, term, service, wanted, 1); ok {
+			log.Info("stage.spread")
+			return
 		}
-		s.config.Log.WithFields(logrus.Fields{
-			"checkpoint": wanted.checkpoint,
-			"copies":     wanted.copies,
-			"worth":      wanted.worth,
-			"engine":     engine,
-			"until":      until,
-		}).Info("stage.spread")
-		return
 	}
 }
 
+// add begins the load of another copy of a model if it is the turn of a duty:
+// the first copy is that of the duty that would be asked for the model first. It
+// takes the place of no model that has only the given number of copies. It
+// returns the line to log, or false if nothing was begun.
+func (s *Stager) add(ctx context.Context, name string, term Term, service string, wanted want, least int) (logrus.FieldLogger, bool) {
+	targets := s.targets(service, wanted.checkpoint)
+	if len(targets) == 0 {
+		return nil, false
+	}
+	turn := targets[wanted.copies%len(targets)]
+	if turn.domain != s.config.Self.Domain || duty(turn.number) != name {
+		return nil, false
+	}
+	version, ok := s.config.Snapshot().VersionByCheckpoint(wanted.checkpoint)
+	if _, _, loading := s.loading(wanted.checkpoint); !ok || loading {
+		return nil, false
+	}
+	engine, until, err := s.begin(ctx, name, term, service, version, wanted.worth, least)
+	if err != nil {
+		return nil, false
+	}
+	return s.config.Log.WithFields(logrus.Fields{
+		"checkpoint": wanted.checkpoint,
+		"copies":     wanted.copies,
+		"worth":      wanted.worth,
+		"engine":     engine,
+		"until":      until,
+	}), true
+}
+
 // count is the number of engines of a service.
 func (s *Stager) count(service string) int {
 	total := 0
