Make both instances from one, and hand messages over once

NewFront repeated the first lines of New and the loop that gives each topic to its part. The incarnation of an instance is read from the clock that it uses otherwise, which shows the time of day at its start.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -16,7 +16,6 @@
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/lister"
-	"github.com/buckthorngap/buckthorngap/internal/logger"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/parser"
 	"github.com/buckthorngap/buckthorngap/internal/queuer"
@@ -92,24 +91,11 @@
 	settings := config.Settings
 	f := &Front{
 		config: config,
-		Instance: &Instance{
-			started:  time.Now(),
-			now:      config.Now,
-			settings: settings,
-			identity: config.Identity,
-			store:    config.Store,
-			self: messenger.Sender{
-				Name:        settings.Name,
-				Domain:      settings.Domain,
-				Incarnation: uint64(config.Now().UnixNano()),
-			},
-			log: logger.New(logger.Config{
-				Output:   config.Log,
-				Level:    settings.Log.Level,
-				Instance: settings.Name,
-				Domain:   settings.Domain,
-			}),
-		},
+		Instance: bare(Config{
+			Settings: settings,
+			Identity: config.Identity,
+			Log:      config.Log,
+		}, config.Store, config.Now),
 	}
 	f.follow()
 	if err := f.wireMessages(); err != nil {
@@ -125,16 +111,7 @@
 	f.wireFrontRequests()
 	f.wireStages()
 	f.wireProbes()
-	for _, handlers := range []map[string]messenger.Handler{
-		f.tracker.Handlers(),
-		f.holder.Handlers(),
-		f.limiter.Handlers(),
-		f.stager.Handlers(),
-	} {
-		for topic, handler := range handlers {
-			f.messenger.Handle(topic, handler)
-		}
-	}
+	f.answer(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers())
 	made, err := enlister.New(enlister.Config{
 		Name:    settings.Name,
 		Domain:  settings.Domain,
--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -75,16 +75,40 @@
 			Got:  identity.Subject.Name + " in " + identity.Subject.Domain,
 		}
 	}
+	config.Identity = identity
 	clock := clocker.NewBoot()
-	i := &Instance{
+	i := bare(config, binder.New(binder.Config{
+		URL:     settings.Platform.URL,
+		Timeout: settings.Platform.Timeout.Duration,
+		Reads:   settings.Platform.Reads,
+		Writes:  settings.Platform.Writes,
+		Now:     clock.Now,
+	}), clock.Now)
+	if err := i.wireState(); err != nil {
+		return nil, err
+	}
+	i.snapshot = i.spreader.Current
+	i.wireAdmission()
+	i.wireRequests()
+	i.wireLoading()
+	i.wireOperators()
+	i.handleMessages()
+	return i, nil
+}
+
+// bare returns an instance without its parts.
+func bare(config Config, store *storer.Store, now func() time.Time) *Instance {
+	settings := config.Settings
+	return &Instance{
 		started:  time.Now(),
-		now:      clock.Now,
+		now:      now,
 		settings: settings,
-		identity: identity,
+		identity: config.Identity,
+		store:    store,
 		self: messenger.Sender{
 			Name:        settings.Name,
 			Domain:      settings.Domain,
-			Incarnation: uint64(time.Now().UnixNano()),
+			Incarnation: uint64(now().UnixNano()),
 		},
 		log: logger.New(logger.Config{
 			Output:   config.Log,
@@ -92,22 +116,5 @@
 			Instance: settings.Name,
 			Domain:   settings.Domain,
 		}),
-		store: binder.New(binder.Config{
-			URL:     settings.Platform.URL,
-			Timeout: settings.Platform.Timeout.Duration,
-			Reads:   settings.Platform.Reads,
-			Writes:  settings.Platform.Writes,
-			Now:     clock.Now,
-		}),
-	}
-	if err := i.wireState(); err != nil {
-		return nil, err
 	}
-	i.snapshot = i.spreader.Current
-	i.wireAdmission()
-	i.wireRequests()
-	i.wireLoading()
-	i.wireOperators()
-	i.handleMessages()
-	return i, nil
 }
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -110,17 +110,22 @@
 
 // handleMessages registers the handlers of all parts.
 func (i *Instance) handleMessages() {
-	for _, handlers := range []map[string]messenger.Handler{
+	i.answer(
 		i.tracker.Handlers(),
 		i.spreader.Handlers(),
 		i.holder.Handlers(),
 		i.limiter.Handlers(),
 		i.reporter.Handlers(),
 		i.placer.Handlers(),
-		{
+		map[string]messenger.Handler{
 			topicDump: i.handleDump,
 		},
-	} {
+	)
+}
+
+// answer has the messages of the parts answered by them.
+func (i *Instance) answer(parts ...map[string]messenger.Handler) {
+	for _, handlers := range parts {
 		for topic, handler := range handlers {
 			i.messenger.Handle(topic, handler)
 		}
