--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -19,6 +19,7 @@
 		Reserve:   limits.Reserve,
 		Instances: limits.Instances,
 		Interval:  limits.Interval.Duration,
+		Silence:   limits.Silence.Duration,
 		Duties:    i.settings.Duties.Limits,
 		Team:      i.limits,
 		Term:      i.limitTerm,
--- a/internal/parser/check.go
+++ b/internal/parser/check.go
@@ -27,6 +27,10 @@
 	leastBody = 1 << 10
 )
 
+// LeastSilence is the shortest time that limits.silence may be: within half of
+// it an instance notices a pause of its own, which is one that lasts a second.
+const LeastSilence = 3 * time.Second
+
 func check(s Settings) []violation {
 	rules := slices.Concat(
 		checkNames(s),
@@ -73,6 +77,7 @@
 		require("membership.suspicion", s.Membership.Suspicion.Duration > s.Membership.Interval.Duration, "must be longer than membership.interval"),
 		require("membership.death", s.Membership.Death.Duration > s.Membership.Suspicion.Duration, "must be longer than membership.suspicion"),
 		require("duties.margin", s.Duties.Margin.Duration*2 < s.Duties.Lease.Duration, "must be less than half of duties.lease"),
+		require("limits.silence", s.Limits.Silence.Duration >= LeastSilence, "must be at least 3s"),
 		require("duties.extension", s.Duties.Extension.Duration > s.Duties.Margin.Duration, "must be longer than duties.margin"),
 	}
 	for field, value := range map[string]Duration{
@@ -85,6 +90,7 @@
 		"duties.lease":        s.Duties.Lease,
 		"duties.margin":       s.Duties.Margin,
 		"limits.interval":     s.Limits.Interval,
+		"limits.silence":      s.Limits.Silence,
 		"routing.interval":    s.Routing.Interval,
 		"routing.cooling":     s.Routing.Cooling,
 		"loading.idle":        s.Loading.Idle,
--- a/internal/parser/default.go
+++ b/internal/parser/default.go
@@ -57,6 +57,7 @@
 			Reserve:   0.2,
 			Instances: 4,
 			Interval:  span(100 * time.Millisecond),
+			Silence:   span(10 * time.Second),
 		},
 		Waiting: Waiting{
 			Requests:  1000,
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -155,6 +155,9 @@
 	Slack int64 `json:"slack"`
 	// Interval is the time between demands for loans.
 	Interval Duration `json:"interval"`
+	// Silence is how long an instance must have been silent before what it
+	// may hold of budget is given to others. It stops using that itself after half of it.
+	Silence Duration `json:"silence"`
 }
 
 // Waiting tunes the queues of requests.
