Let urgent requests spend their team's budget first, and none wait past half its objective

Ruled out: budget that lies in other domains (gifts are asked for each 100 ms, all domains were empty), debts after a takeover (mended before).

Waiting reservations are ordered by the route's priority, and on a route with an objective none waits longer than half of it.

--- a/internal/limiter/bench_test.go
+++ b/internal/limiter/bench_test.go
@@ -40,7 +40,10 @@
 			})
 			ctx := context.Background()
 			for _, name := range names {
-				_ = l.ReserveInto(ctx, &Reservation{}, name, 0)
+				_ = l.ReserveInto(ctx, &Reservation{}, Ask{
+					Team:   name,
+					Tokens: 0,
+				})
 			}
 			time.Sleep(10 * time.Millisecond)
 			l.pulse(time.Now())
@@ -51,7 +54,10 @@
 				if i%10_000 == 0 {
 					l.pulse(time.Now())
 				}
-				if err := l.ReserveInto(ctx, &r, names[i%count], 10); err != nil {
+				if err := l.ReserveInto(ctx, &r, Ask{
+					Team:   names[i%count],
+					Tokens: 10,
+				}); err != nil {
 					b.Fatal(err)
 				}
 				r.Settle(5)
@@ -75,10 +81,16 @@
 	})
 	ctx := context.Background()
 	r := Reservation{}
-	_ = l.ReserveInto(ctx, &r, "team", 0)
+	_ = l.ReserveInto(ctx, &r, Ask{
+		Team:   "team",
+		Tokens: 0,
+	})
 	time.Sleep(time.Millisecond)
 	allocations := testing.AllocsPerRun(1000, func() {
-		if err := l.ReserveInto(ctx, &r, "team", 10); err != nil {
+		if err := l.ReserveInto(ctx, &r, Ask{
+			Team:   "team",
+			Tokens: 10,
+		}); err != nil {
 			t.Fatal(err)
 		}
 		r.Settle(5)
--- a/internal/limiter/bucket.go
+++ b/internal/limiter/bucket.go
@@ -28,7 +28,8 @@
 	factor float64
 	demand demand
 	// source is what the holder last said it has.
-	source  source
+	source source
+	// waiters are ordered by rank, then by when they came.
 	waiters []*waiter
 }
 
@@ -52,16 +53,26 @@
 	known bool
 }
 
-// take spends tokens if they are there and nobody waits for them.
-func (b *bucket) take(now time.Time, limits configurator.Team, r *Reservation, tokens int64) bool {
+// take spends tokens if they are there and nobody as urgent waits for them.
+func (b *bucket) take(now time.Time, limits configurator.Team, r *Reservation, ask Ask) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refresh(now, limits)
-	b.demand.add(tokens)
-	if len(b.waiters) > 0 {
+	b.demand.add(ask.Tokens)
+	if b.behind(ask.Rank) > 0 {
 		return false
 	}
-	return b.spend(r, tokens)
+	return b.spend(r, ask.Tokens)
+}
+
+// behind is the number of waiting reservations that go before a new one.
+func (b *bucket) behind(rank int) int {
+	for i, w := range b.waiters {
+		if w.rank < rank {
+			return i
+		}
+	}
+	return len(b.waiters)
 }
 
 // refresh brings the balances up to the time and to the limits in force.
--- a/internal/limiter/favour.go
+++ b/internal/limiter/favour.go
@@ -117,7 +117,10 @@
 	if asked.GetTeam() == "" {
 		return proto.Marshal(spent)
 	}
-	reservation, err := l.Reserve(ctx, asked.GetTeam(), asked.GetTokens())
+	reservation, err := l.Reserve(ctx, Ask{
+		Team:   asked.GetTeam(),
+		Tokens: asked.GetTokens(),
+	})
 	if err != nil {
 		spent.Granted = false
 		var refused *refuser.Refusal
--- a/internal/limiter/favour_test.go
+++ b/internal/limiter/favour_test.go
@@ -30,7 +30,10 @@
 		time.Sleep(1500 * time.Millisecond)
 		is.True(late.limiter.Ready())
 		is.True(!late.limiter.recorded())
-		reservation, err := late.limiter.Reserve(context.Background(), "team", 100)
+		reservation, err := late.limiter.Reserve(context.Background(), Ask{
+			Team:   "team",
+			Tokens: 100,
+		})
 		is.NoErr(err)
 		reservation.Settle(100)
 		f.stop()
@@ -48,7 +51,10 @@
 		time.Sleep(time.Second)
 		lone := f.node("d0-0")
 		is.True(!lone.limiter.Ready())
-		_, err := lone.limiter.Reserve(context.Background(), "team", 100)
+		_, err := lone.limiter.Reserve(context.Background(), Ask{
+			Team:   "team",
+			Tokens: 100,
+		})
 		var refused *refuser.Refusal
 		is.True(errors.As(err, &refused))
 		is.Equal(refused.Code, refuser.CodeStarting) // not that the team has spent its budget
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -337,7 +337,10 @@
 
 // request reserves, holds and settles as one caller does.
 func (n *node) request(team string, tokens, used int64, hold time.Duration) bool {
-	r, err := n.limiter.Reserve(context.Background(), team, tokens)
+	r, err := n.limiter.Reserve(context.Background(), Ask{
+		Team:   team,
+		Tokens: tokens,
+	})
 	now := time.Now()
 	n.mu.Lock()
 	dead := n.dead
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -215,17 +215,18 @@
 
 // Reserve spends tokens of a team in advance. It returns a *refuser.Refusal
 // if the budget is not there and cannot be there soon.
-func (l *Limiter) Reserve(ctx context.Context, team string, tokens int64) (*Reservation, error) {
+func (l *Limiter) Reserve(ctx context.Context, ask Ask) (*Reservation, error) {
 	r := &Reservation{}
-	if err := l.ReserveInto(ctx, r, team, tokens); err != nil {
+	if err := l.ReserveInto(ctx, r, ask); err != nil {
 		return nil, err
 	}
 	return r, nil
 }
 
 // ReserveInto is Reserve with the caller's own storage for the reservation.
-func (l *Limiter) ReserveInto(ctx context.Context, r *Reservation, team string, tokens int64) error {
-	limits, ok := l.config.Team(team)
+func (l *Limiter) ReserveInto(ctx context.Context, r *Reservation, ask Ask) error {
+	ask.Tokens = max(ask.Tokens, 0)
+	limits, ok := l.config.Team(ask.Team)
 	if !ok || l.closing.Load() {
 		return l.refuseOther(ok)
 	}
@@ -233,8 +234,8 @@
 		l.metrics.admitted.Inc()
 		return nil
 	}
-	if l.rule.lends() && l.helped.Load() && !l.borrowers[l.duty(team)].ready() {
-		return l.favour(ctx, team, max(tokens, 0))
+	if l.rule.lends() && l.helped.Load() && !l.borrowers[l.duty(ask.Team)].ready() {
+		return l.favour(ctx, ask.Team, ask.Tokens)
 	}
 	now := l.config.Now()
 	if l.paused(now) {
@@ -243,9 +244,9 @@
 	if l.between != nil {
 		l.between()
 	}
-	b := l.bucket(now, team)
-	if !b.take(now, limits, r, max(tokens, 0)) {
-		return l.wait(ctx, now, b, r, max(tokens, 0))
+	b := l.bucket(now, ask.Team)
+	if !b.take(now, limits, r, ask) {
+		return l.wait(ctx, now, b, r, ask)
 	}
 	return l.confirm(r, now)
 }
@@ -281,14 +282,15 @@
 }
 
 // wait lets a reservation wait for a loan that can come in time.
-func (l *Limiter) wait(ctx context.Context, now time.Time, b *bucket, r *Reservation, tokens int64) error {
+func (l *Limiter) wait(ctx context.Context, now time.Time, b *bucket, r *Reservation, ask Ask) error {
 	deadline := now.Add(l.config.Wait)
 	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
 		deadline = limit
 	}
 	w := &waiter{
 		into:     r,
-		tokens:   tokens,
+		tokens:   ask.Tokens,
+		rank:     ask.Rank,
 		deadline: deadline,
 		answer:   make(chan error, 1),
 	}
--- a/internal/limiter/outage_test.go
+++ b/internal/limiter/outage_test.go
@@ -73,7 +73,10 @@
 		state := n.limiter.Dump().(State).Teams[0]
 		is.Equal(state.Loan, 0.0)
 		is.True(!state.Standing)
-		_, err := n.limiter.Reserve(context.Background(), "team", 1)
+		_, err := n.limiter.Reserve(context.Background(), Ask{
+			Team:   "team",
+			Tokens: 1,
+		})
 		var refusal *refuser.Refusal
 		is.True(errors.As(err, &refusal))
 		is.Equal(refusal.Code, refuser.CodeStopping)
--- a/internal/limiter/waiter.go
+++ b/internal/limiter/waiter.go
@@ -6,6 +6,7 @@
 type waiter struct {
 	into     *Reservation
 	tokens   int64
+	rank     int
 	deadline time.Time
 	// answer gets nil once the tokens are reserved, or the refusal.
 	answer chan error
--- a/internal/limiter/waiting.go
+++ b/internal/limiter/waiting.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
@@ -14,23 +15,24 @@
 func (b *bucket) enqueue(now time.Time, w *waiter) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.waiters) == 0 && b.spend(w.into, w.tokens) {
+	place := b.behind(w.rank)
+	if place == 0 && b.spend(w.into, w.tokens) {
 		w.answer <- nil
 		return nil
 	}
-	at := b.available(now, w.tokens)
+	at := b.available(now, w.tokens, place)
 	if at.IsZero() || at.After(w.deadline) {
 		return refuseRate(now, at)
 	}
-	b.waiters = append(b.waiters, w)
+	b.waiters = slices.Insert(b.waiters, place, w)
 	return nil
 }
 
-// available estimates when tokens can be there, after those that wait
-// already; zero means never.
-func (b *bucket) available(now time.Time, tokens int64) time.Time {
+// available estimates when tokens can be there, after the first so many of
+// those that wait already; zero means never.
+func (b *bucket) available(now time.Time, tokens int64, place int) time.Time {
 	need := float64(tokens) - b.loan
-	for _, w := range b.waiters {
+	for _, w := range b.waiters[:place] {
 		need += float64(w.tokens)
 	}
 	rate := 0.0
@@ -73,16 +75,15 @@
 
 // expire refuses the reservations whose time to wait is over.
 func (b *bucket) expire(now time.Time) {
-	kept := b.waiters[:0]
-	for _, w := range b.waiters {
+	waiters := b.waiters
+	b.waiters = nil
+	for _, w := range waiters {
 		if now.Before(w.deadline) {
-			kept = append(kept, w)
+			b.waiters = append(b.waiters, w)
 			continue
 		}
-		w.answer <- refuseRate(now, b.available(now, w.tokens))
+		w.answer <- refuseRate(now, b.available(now, w.tokens, len(b.waiters)))
 	}
-	clear(b.waiters[len(kept):])
-	b.waiters = kept
 }
 
 // giveUp refuses the reservations that the holder cannot serve in time.
@@ -90,7 +91,7 @@
 	waiters := b.waiters
 	b.waiters = nil
 	for _, w := range waiters {
-		at := b.available(now, w.tokens)
+		at := b.available(now, w.tokens, len(b.waiters))
 		if at.IsZero() || at.After(w.deadline) {
 			w.answer <- refuseRate(now, at)
 			continue
--- a/internal/measurer/admissionmeter/traffic.go
+++ b/internal/measurer/admissionmeter/traffic.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
@@ -89,7 +90,10 @@
 		used:   float64(r.used),
 	}
 	c.counted = !c.at.Before(r.traffic.begin)
-	reservation, err := r.target.limiter.Reserve(ctx, r.traffic.load.team, r.tokens)
+	reservation, err := r.target.limiter.Reserve(ctx, limiter.Ask{
+		Team:   r.traffic.load.team,
+		Tokens: r.tokens,
+	})
 	c.effect = time.Now()
 	c.admitted = err == nil
 	r.traffic.site.ledger.add(r.traffic.load.team, c)
--- a/internal/server/reservation.go
+++ b/internal/server/reservation.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/go-kit/kit/endpoint"
+
+	"github.com/buckthorngap/buckthorngap/internal/limiter"
 )
 
 // bytesPerToken is the least number of prompt bytes in a token where the model does not say.
@@ -19,7 +21,10 @@
 		}
 		p.estimate = int64(float64(len(p.completion.prompt))/size) + 1
 		p.tokens = p.estimate*p.completion.answers + p.completion.tokens*p.completion.answers
-		reservation, err := s.config.Reserve(ctx, p.key.Team, p.tokens)
+		reservation, err := s.config.Reserve(ctx, limiter.Ask{
+			Team:   p.key.Team,
+			Tokens: p.tokens,
+		})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
+	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
@@ -173,7 +174,13 @@
 			p.tokens = team.Charge
 		}
 		began := s.config.Now()
-		reservation, err := s.config.Reserve(ctx, p.key.Team, p.tokens)
+		soon, cancel := p.soon(ctx)
+		defer cancel()
+		reservation, err := s.config.Reserve(soon, limiter.Ask{
+			Team:   p.key.Team,
+			Tokens: p.tokens,
+			Rank:   p.route.Priority,
+		})
 		p.explainCharge(began, err)
 		if err != nil {
 			return nil, err
@@ -183,6 +190,15 @@
 	}
 }
 
+// soon ends when an answer that waited so long for its team's limit would be
+// late. Longer waits only make all of a crowd late.
+func (p *passage) soon(ctx context.Context) (context.Context, context.CancelFunc) {
+	if p.route.Objective <= 0 {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, p.started.Add(p.route.Objective/2))
+}
+
 // futile refuses a request at once if no engine will be ready for it in time.
 func (p *passage) futile(ctx context.Context) *refuser.Refusal {
 	config := &p.server.config
--- a/internal/server/routed_test.go
+++ b/internal/server/routed_test.go
@@ -36,6 +36,9 @@
 	seen     []*http.Request
 	bodies   []string
 	reserved []int64
+	// ranks and waits are how urgent reservations were, and the end of the last wait.
+	ranks []int
+	waits time.Time
 }
 
 // newDesk starts the site; answer is what the upstream does.
@@ -89,10 +92,12 @@
 	return d
 }
 
-func (d *desk) reserve(_ context.Context, _ string, tokens int64) (*limiter.Reservation, error) {
+func (d *desk) reserve(ctx context.Context, ask limiter.Ask) (*limiter.Reservation, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.reserved = append(d.reserved, tokens)
+	d.reserved = append(d.reserved, ask.Tokens)
+	d.ranks = append(d.ranks, ask.Rank)
+	d.waits, _ = ctx.Deadline()
 	return &limiter.Reservation{}, nil
 }
 
@@ -111,7 +116,9 @@
 			},
 		}
 	}
-	once, open, short := route("once"), route("open"), route("short")
+	once, open, short, brisk := route("once"), route("open"), route("short"), route("brisk")
+	brisk.Objective = 400 * time.Millisecond
+	brisk.Priority = 2
 	once.Once = true
 	open.Open = true
 	short.Timeout = 100 * time.Millisecond
@@ -127,7 +134,7 @@
 				Name: "desk",
 			},
 		},
-		Routes: []configurator.Route{once, open, short},
+		Routes: []configurator.Route{once, open, short, brisk},
 		Keys: []configurator.Key{
 			{
 				Name: "k",
@@ -187,6 +194,20 @@
 	is.Equal(d.reserved, []int64{200, 350})
 }
 
+// TestBudgetThatComesTooLateIsNotWaitedFor: a request that waits until its
+// objective is over makes those behind it late as well.
+func TestBudgetThatComesTooLateIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t, server.Config{}, func(http.ResponseWriter, *http.Request) {})
+	began := time.Now()
+	_, _ = d.ask(t, http.MethodGet, "/brisk/1", "", "X-Api-Key", secret)
+	is.Equal(d.ranks, []int{2}) // the route's priority
+	is.True(!d.waits.Before(began.Add(200 * time.Millisecond)))
+	is.True(d.waits.Before(time.Now().Add(200 * time.Millisecond))) // half of the objective
+	_, _ = d.ask(t, http.MethodGet, "/once/1", "", "X-Api-Key", secret)
+	is.True(d.waits.After(time.Now().Add(400 * time.Millisecond))) // no objective, the request's own time
+}
+
 func TestRouteNeedsAKeyUnlessItIsOpen(t *testing.T) {
 	is := is.New(t)
 	d := newDesk(t, server.Config{}, func(http.ResponseWriter, *http.Request) {})
--- a/internal/server/site_test.go
+++ b/internal/server/site_test.go
@@ -181,8 +181,8 @@
 }
 
 // reserve lets every request within its team's limits.
-func (s *site) reserve(_ context.Context, team string, tokens int64) (*limiter.Reservation, error) {
-	if team == "" || tokens <= 0 {
+func (s *site) reserve(_ context.Context, ask limiter.Ask) (*limiter.Reservation, error) {
+	if ask.Team == "" || ask.Tokens <= 0 {
 		s.t.Error("a reservation without team or tokens")
 	}
 	return &limiter.Reservation{}, nil
