Settle conflicts about adapters within the question, and wait for busy engines

The conflicts: an engine accepts the order to drop an adapter in use a second time without counting it, the book counted it, and the next order failed before the report was read. Ruled out: slots that are full everywhere (other engines had the model in half of the cases), late reports.

After an unload that waits and after a conflict the engine's report is read and the order tried once more within the question; an engine that is busy by its own report says for how long it is left alone. The request tries other engines, then waits for the time that the refusal names, if its caller is still there.

--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/router"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
@@ -276,32 +279,52 @@
 }
 
 // equip has the adapter loaded that the chosen engine lacks. If that engine
-// cannot have it, another one is tried.
+// cannot have it now, another one is tried, and if there is none, the request
+// waits until the engine is said to take orders again.
 func (p *passage) equip(ctx context.Context) error {
 	for try := 1; p.choice.Missing; try++ {
 		err := p.server.config.Prepare(ctx, p.choice, p.need)
 		if err == nil {
 			return nil
 		}
-		if try >= equipTries || ctx.Err() != nil {
-			return err
-		}
-		p.choice.Done(router.Neutral)
-		need := p.need
-		need.Exclude = append(need.Exclude, p.choice.Upstream)
-		next, ok := p.server.config.Place(need)
-		if !ok {
+		if try >= equipTries || ctx.Err() != nil || !p.change(ctx, err) {
 			return err
 		}
+	}
+	return nil
+}
+
+// equipTries is how often an engine may be asked to load an adapter for one
+// request.
+const equipTries = 4
+
+// change gives the place of a request up that an engine refused an adapter, and
+// takes one at another engine, or later at any. It reports whether there is one.
+func (p *passage) change(ctx context.Context, refused error) bool {
+	p.choice.Done(router.Neutral)
+	need := p.need
+	need.Exclude = append(slices.Clone(need.Exclude), p.choice.Upstream)
+	next, ok := p.server.config.Place(need)
+	if !ok && p.await(ctx, refused) {
+		need.Exclude = nil
+		next, ok = p.server.config.Place(need)
+	}
+	if ok {
 		p.need.Exclude = need.Exclude
 		p.choice = next
 	}
-	return nil
+	return ok
 }
 
-// equipTries is the number of engines that may be asked to load an adapter for
-// one request.
-const equipTries = 2
+// await waits until what was refused is said to be possible. It reports false
+// if that is not known or too late for the caller.
+func (p *passage) await(ctx context.Context, refused error) bool {
+	var refusal *refuser.Refusal
+	if !errors.As(refused, &refusal) || refusal.RetryAt.IsZero() || !refusal.RetryAt.Before(p.start) {
+		return false
+	}
+	return waiter.Pause(ctx, refusal.RetryAt.Sub(p.server.config.Now()))
+}
 
 // lacks notes that an upstream does not hold what the request needs, so that no
 // other request goes there for it.
--- a/internal/server/routed_test.go
+++ b/internal/server/routed_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,7 +73,13 @@
 	routing.Refresh()
 	config.Snapshot = func() *configurator.Snapshot { return d.snapshot }
 	config.Reserve = d.reserve
-	config.Place = routing.Pick
+	config.Place = func(need router.Need) (*router.Choice, bool) {
+		choice, ok := routing.Pick(need)
+		if ok {
+			choice.Missing = config.Prepare != nil
+		}
+		return choice, ok
+	}
 	config.Enter = func(_ context.Context, ticket queuer.Ticket) (any, error) {
 		choice, ok := routing.Pick(ticket.Value.(router.Need))
 		if !ok {
@@ -81,6 +88,7 @@
 				Outcome: refuser.NotRun,
 			}
 		}
+		choice.Missing = config.Prepare != nil
 		return choice, nil
 	}
 	config.Forwarder = forwarder.New(forwarder.Config{
@@ -119,6 +127,8 @@
 	once, open, short, brisk := route("once"), route("open"), route("short"), route("brisk")
 	brisk.Objective = 400 * time.Millisecond
 	brisk.Priority = 2
+	hasty := route("hasty")
+	hasty.Patience = 10 * time.Millisecond
 	once.Once = true
 	open.Open = true
 	short.Timeout = 100 * time.Millisecond
@@ -134,7 +144,7 @@
 				Name: "desk",
 			},
 		},
-		Routes: []configurator.Route{once, open, short, brisk},
+		Routes: []configurator.Route{once, open, short, brisk, hasty},
 		Keys: []configurator.Key{
 			{
 				Name: "k",
@@ -208,6 +218,32 @@
 	is.True(d.waits.After(time.Now().Add(400 * time.Millisecond))) // no objective, the request's own time
 }
 
+// TestRequestWaitsForAnEngineThatIsBusy: the only engine with the model carries
+// out another order, and says until when.
+func TestRequestWaitsForAnEngineThatIsBusy(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int64
+	d := newDesk(t, server.Config{
+		Prepare: func(context.Context, *router.Choice, router.Need) error {
+			if asked.Add(1) > 2 {
+				return nil
+			}
+			return &refuser.Refusal{
+				Code:    refuser.CodeNoUpstream,
+				Outcome: refuser.NotRun,
+				RetryAt: time.Now().Add(20 * time.Millisecond),
+			}
+		},
+	}, func(http.ResponseWriter, *http.Request) {})
+	response, _ := d.ask(t, http.MethodGet, "/once/1", "", "X-Api-Key", secret)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(asked.Load(), int64(3))
+	asked.Store(0)
+	response, _ = d.ask(t, http.MethodGet, "/hasty/1", "", "X-Api-Key", secret)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable) // its caller has left by then
+	is.Equal(asked.Load(), int64(1))
+}
+
 func TestRouteNeedsAKeyUnlessItIsOpen(t *testing.T) {
 	is := is.New(t)
 	d := newDesk(t, server.Config{}, func(http.ResponseWriter, *http.Request) {})
--- a/internal/stager/adapters.go
+++ b/internal/stager/adapters.go
@@ -14,9 +14,14 @@
 // another: requests for it may be on their way or run.
 const warm = 500 * time.Millisecond
 
-// unloading is how long an unload that waits for requests is left alone.
+// unloading is how long an engine is left alone that waits for requests to end,
+// or carries out an order that this holder did not give.
 const unloading = 500 * time.Millisecond
 
+// conflictTries is how often an order for an adapter is tried: the second time
+// with the sequence that the engine itself tells.
+const conflictTries = 2
+
 // loadAdapter has an engine load an adapter, and returns when it is ready.
 func (s *Stager) loadAdapter(ctx context.Context, term Term, engine, checkpoint, adapter string) (time.Time, error) {
 	instance, err := s.instance(engine)
@@ -26,6 +31,19 @@
 	b := s.book(engine)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for range conflictTries {
+		ready, err := s.tryAdapter(ctx, term, b, instance, checkpoint, adapter)
+		var conflict *Conflict
+		if !errors.As(err, &conflict) {
+			return ready, err
+		}
+	}
+	return time.Time{}, unavailableUntil("the engine carries out another order", s.config.Now().Add(unloading))
+}
+
+// tryAdapter orders the load once. Its caller holds the book's lock.
+func (s *Stager) tryAdapter(ctx context.Context, term Term, b *book, instance storer.Instance, checkpoint, adapter string) (time.Time, error) {
+	b.doubt = b.doubt || b.busy
 	if err := s.refresh(ctx, b, instance); err != nil {
 		return time.Time{}, err
 	}
@@ -41,6 +59,9 @@
 	if now.Before(b.until) {
 		return time.Time{}, unavailableUntil("the engine carries out another order", b.until)
 	}
+	if b.busy {
+		return time.Time{}, unavailableUntil("the engine carries out another order", now.Add(unloading))
+	}
 	if err := s.makeRoom(ctx, term, b, instance, adapter, current); err != nil {
 		return time.Time{}, err
 	}
@@ -53,7 +74,7 @@
 	}
 	now = s.config.Now()
 	b.note(now, checkpoint, adapter, true)
-	s.config.Note(engine, checkpoint, adapter, true)
+	s.config.Note(instance.Name, checkpoint, adapter, true)
 	if answer == Holding {
 		return now, nil
 	}
@@ -88,7 +109,9 @@
 	s.config.Note(instance.Name, checkpoint, adapter, false)
 	if answer == Begun {
 		// The engine takes no other order until the adapter's requests have ended.
+		// An order that repeats one which waits is accepted and not counted.
 		b.used[adapter] = now
+		b.doubt = true
 		b.until = now.Add(unloading)
 		return unavailableUntil("the adapter to drop is still in use", b.until)
 	}
--- a/internal/stager/engine_test.go
+++ b/internal/stager/engine_test.go
@@ -43,6 +43,7 @@
 	overfull bool
 	silent   bool
 	stuck    bool // unloads wait
+	waits    bool // one does
 	slow     time.Duration
 }
 
@@ -75,10 +76,14 @@
 	adapters := e.models[order.Checkpoint]
 	switch {
 	case order.Adapter != "" && order.Unload:
-		e.sequence++
 		if e.stuck {
+			if !e.waits {
+				e.sequence++
+			}
+			e.waits = true
 			return Begun
 		}
+		e.sequence++
 		delete(adapters, order.Adapter)
 		return Holding
 	case order.Adapter != "":
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -100,6 +100,45 @@
 	})
 }
 
+// TestUnloadThatWaitsIsNotCountedTwice: an engine accepts the order to drop an
+// adapter in use again while it waits, without counting that.
+func TestUnloadThatWaitsIsNotCountedTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		for _, name := range []string{"a0", "a1", "a2"} {
+			is.NoErr(f.adapter(name))
+		}
+		f.engine.stuck = true
+		for range 2 {
+			time.Sleep(warm)
+			is.True(f.adapter("a3") != nil)
+		}
+		f.engine.stuck, f.engine.waits = false, false
+		f.engine.models["m0"] = map[string]bool{
+			"m0/a1": true,
+			"m0/a2": true,
+		}
+		time.Sleep(settling)
+		f.tell()
+		orders := len(f.engine.orders)
+		is.NoErr(f.adapter("a3"))
+		is.Equal(len(f.engine.orders), orders+1) // none conflicted
+	})
+}
+
+// TestConflictIsSettledWithinTheQuestion: an order of a former holder is
+// carried out late, so that the sequence is another one than was known.
+func TestConflictIsSettledWithinTheQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		is.NoErr(f.adapter("a0"))
+		f.engine.sequence++
+		is.NoErr(f.adapter("a1"))
+	})
+}
+
 func TestOrderWithoutAnswerIsSettledByTheReport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
