Begin one load from the weight store at a time for each duty

Each duty begins one load from the store at a time: what they share is then at most the number of duties, and each load is done as early as it can be. Refusals name the time at which the one under way should be done.

--- a/internal/stager/models.go
+++ b/internal/stager/models.go
@@ -54,14 +54,19 @@
 	if !ok {
 		return "", now, unavailable("nothing that is asked for less can make way")
 	}
-	if chosen.site.remote {
-		if p := s.pace(name, snapshot, service); p != nil && !p.take(now) {
-			return "", now, unavailableUntil("the weight store is busy", p.next(now))
-		}
-	}
 	until := now.Add(chosen.site.load + swapPause)
+	p := s.pace(name, snapshot, service)
+	if !chosen.site.remote {
+		p = nil
+	}
+	if p != nil && !p.take(now, until) {
+		return "", now, unavailableUntil("the weight store is busy", p.next(now))
+	}
 	b := s.book(chosen.site.engine)
 	if !b.reserve(now, until, checkpoint) {
+		if p != nil {
+			p.done()
+		}
 		return "", now, unavailableUntil("the engine carries out another order", now.Add(swapPause))
 	}
 	w := &swap{
@@ -71,6 +76,7 @@
 		instance:   engines[chosen.site.engine].Instance,
 		checkpoint: checkpoint,
 		choice:     chosen,
+		pace:       p,
 	}
 	go w.run(context.WithoutCancel(ctx))
 	return chosen.site.engine, until, nil
@@ -217,6 +223,8 @@
 	instance   storer.Instance
 	checkpoint string
 	choice     choice
+	// pace is told of a load from the weight store; nil for another.
+	pace *pace
 }
 
 // run carries the swap out.
@@ -237,6 +245,9 @@
 		err = w.confirm(ctx)
 	}
 	now := s.config.Now()
+	if w.pace != nil {
+		w.pace.done()
+	}
 	w.book.mu.Lock()
 	w.book.until, w.book.target = now, ""
 	if err == nil {
--- a/internal/stager/plan_test.go
+++ b/internal/stager/plan_test.go
@@ -154,8 +154,9 @@
 			continue // the duties save up as much as they may
 		}
 		for _, one := range paces {
-			if one.take(now) {
+			if one.take(now, now) {
 				begun = append(begun, now)
+				one.done()
 			}
 		}
 	}
