Call an act unknown, not refused, if it took effect before its result could be read

Reading the path: the answer to the swap of the head is lost, the read back shows the act with another one after it, and the result is to be read by a new attempt; if the store is out then, or other acts come first each time, that attempt's error said that nothing had happened. Ruled out: the swap itself (the stored head names the act), repairs (they carry no act).

An act that was seen in the head is remembered through the attempts, and a later failure is an *UnknownOutcome, which repeating with the same identity settles. TestActThatTookEffectIsNotCalledRefused plays it and was red before.

--- a/internal/spreader/acts.go
+++ b/internal/spreader/acts.go
@@ -55,16 +55,32 @@
 		return Receipt{}, notAccepted(change.ID, err)
 	}
 	defer s.unlockActs()
+	entered := false
 	for attempt := range actAttempts {
 		receipt, err := s.attempt(ctx, change)
 		if !again(err) {
-			return receipt, err
+			return receipt, truthful(change.ID, err, entered)
 		}
+		var after *overtaken
+		entered = entered || errors.As(err, &after)
 		if !waiter.Pause(ctx, rand.N(time.Duration(attempt+1)*5*time.Millisecond)) {
 			break
 		}
 	}
-	return Receipt{}, notAccepted(change.ID, &Contended{})
+	return Receipt{}, truthful(change.ID, notAccepted(change.ID, &Contended{}), entered)
+}
+
+// truthful is the error of an act: one that entered the head has had an effect,
+// whatever kept its result from being read.
+func truthful(id string, err error, entered bool) error {
+	var refused *NotAccepted
+	if !entered || !errors.As(err, &refused) {
+		return err
+	}
+	return &UnknownOutcome{
+		ID:    id,
+		Cause: refused.Cause,
+	}
 }
 
 func (s *Spreader) lockActs(ctx context.Context) error {
@@ -78,11 +94,12 @@
 
 func (s *Spreader) unlockActs() { <-s.acting }
 
-// again tells whether an attempt failed only because another act came first.
+// again tells whether an attempt failed only because of another act.
 func again(err error) bool {
 	var conflict *storer.Conflict
 	var gone *vanished
-	return errors.As(err, &conflict) || errors.As(err, &gone)
+	var after *overtaken
+	return errors.As(err, &conflict) || errors.As(err, &gone) || errors.As(err, &after)
 }
 
 func notAccepted(id string, cause error) error {
--- a/internal/spreader/errors.go
+++ b/internal/spreader/errors.go
@@ -67,6 +67,12 @@
 
 func (e *unfit) Unwrap() error { return e.cause }
 
+// overtaken reports an act that is in the head, with another one after it: the
+// result has to be read.
+type overtaken struct{}
+
+func (e *overtaken) Error() string { return "another act came after it" }
+
 // vanished reports documents that were replaced while they were read.
 type vanished struct {
 	cause error
--- a/internal/spreader/failure_test.go
+++ b/internal/spreader/failure_test.go
@@ -57,6 +57,45 @@
 	is.Equal(revision, uint64(1)) // although it took effect
 }
 
+// TestActThatTookEffectIsNotCalledRefused: the answer to the swap is lost, another
+// act comes after it, and the store is out when the result is to be read.
+func TestActThatTookEffectIsNotCalledRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		n := c.start("n0", "d0", nil)
+		other := c.start("n1", "d0", nil)
+		c.untilReady()
+		get, swap := n.config.Store.Get, n.config.Store.Swap
+		swapped, reads := false, 0
+		n.config.Store.Swap = func(ctx context.Context, request storer.Swap) (storer.Entry, error) {
+			entry, err := swap(ctx, request)
+			if request.Key != headKey || swapped {
+				return entry, err
+			}
+			swapped = true
+			_, err = other.Act(ctx, putTeam("act-2", "dryers", 5))
+			is.NoErr(err)
+			return storer.Entry{}, &storer.Unavailable{}
+		}
+		n.config.Store.Get = func(ctx context.Context, key string) (storer.Entry, error) {
+			if key == headKey && swapped {
+				reads++
+			}
+			if reads > 1 {
+				return storer.Entry{}, &storer.Unavailable{}
+			}
+			return get(ctx, key)
+		}
+		_, err := n.Act(t.Context(), putTeam("act-1", "crates", 5))
+		var unknown *UnknownOutcome
+		is.True(errors.As(err, &unknown))
+		_, known := c.storedHead().Act("act-1")
+		is.True(known)
+		c.stopAll()
+	})
+}
+
 func TestUnknownOutcomeIsToldByRepeating(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/spreader/publication.go
+++ b/internal/spreader/publication.go
@@ -41,7 +41,7 @@
 
 // publish writes the documents that the stored head lacks under fresh keys and
 // swaps the head last. The error is *storer.Conflict if another act came
-// first, *NotAccepted or *UnknownOutcome.
+// first, *overtaken if one came after it, *NotAccepted or *UnknownOutcome.
 func (s *Spreader) publish(ctx context.Context, stored storedHead, next *configurator.Snapshot, id string) error {
 	head, written, err := s.writeDocuments(ctx, stored.head, next)
 	if err != nil {
@@ -76,11 +76,7 @@
 		}
 	}
 	if !bytes.Equal(entry.Value, value) {
-		// The act is in the head, but another one came after it: read the result.
-		return &storer.Conflict{
-			Key:     headKey,
-			Current: entry.Revision,
-		}
+		return &overtaken{}
 	}
 	s.collect(ctx, stored.head, head)
 	return nil
