Call what the project had: live members, one type of terms, one walk over waiters

Tests keep their assertions; the stager's fixture names the new function field.

Looked at and left: generated code; the loop of a streamed answer beside that of the rest of a long one, whose errors differ once the first byte is out; spread and cover, which each count copies, some microseconds each half second.

--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/buckthorngap/buckthorngap/internal/claimer"
+	"github.com/buckthorngap/buckthorngap/internal/holder"
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/queuer"
 	"github.com/buckthorngap/buckthorngap/internal/router"
@@ -57,15 +58,18 @@
 
 // limitTerm is the term of a limit duty. A freeze that the term outlasts must
 // not look like its end, else the holder would forget what it has lent.
-func (i *Instance) limitTerm(duty string) (limiter.Term, bool) {
-	term, ok := i.holder.Held(duty)
+func (i *Instance) limitTerm(duty string) (holder.Fence, bool) {
+	return fence(i.holder.Held(duty))
+}
+
+// term is the instance's own term of a duty.
+func (i *Instance) term(duty string) (holder.Fence, bool) { return fence(i.holder.Term(duty)) }
+
+func fence(term holder.Term, ok bool) (holder.Fence, bool) {
 	if !ok {
-		return limiter.Term{}, false
+		return holder.Fence{}, false
 	}
-	return limiter.Term{
-		Epoch: term.Epoch(),
-		Check: term.Check,
-	}, true
+	return term.Fence(), true
 }
 
 // pick tries to place a waiting request on an engine.
--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -245,9 +245,9 @@
 		Self:      f.self,
 		Domains:   func() []string { return f.settings.Limits.Domains },
 		Groups:    f.settings.Duties.Placements,
-		Term:      f.stageTerm,
+		Term:      f.term,
 		Owner:     f.owner,
-		Members:   f.tracker.Members,
+		Alive:     f.tracker.Alive,
 		Call:      f.messenger.Call,
 		Snapshot:  f.adopter.Current,
 		Upstreams: f.upstreams.Upstreams,
@@ -261,17 +261,6 @@
 	})
 }
 
-func (f *Front) stageTerm(duty string) (stager.Term, bool) {
-	term, ok := f.holder.Term(duty)
-	if !ok {
-		return stager.Term{}, false
-	}
-	return stager.Term{
-		Epoch: term.Epoch(),
-		Check: term.Check,
-	}, true
-}
-
 // want counts a request for a model.
 func (f *Front) want(ticket queuer.Ticket) {
 	if need, ok := ticket.Value.(router.Need); ok && need.Checkpoint != "" {
--- a/internal/app/loading.go
+++ b/internal/app/loading.go
@@ -20,7 +20,7 @@
 		Domain:   i.settings.Domain,
 		Domains:  i.settings.Limits.Domains,
 		Groups:   i.settings.Duties.Placements,
-		Term:     i.placementTerm,
+		Term:     i.term,
 		Owner:    i.owner,
 		Call:     i.messenger.Call,
 		Store:    i.store,
@@ -48,17 +48,6 @@
 	}
 }
 
-func (i *Instance) placementTerm(duty string) (placer.Term, bool) {
-	term, ok := i.holder.Term(duty)
-	if !ok {
-		return placer.Term{}, false
-	}
-	return placer.Term{
-		Epoch: term.Epoch(),
-		Check: term.Check,
-	}, true
-}
-
 // engines lists the engines of the own failure domain.
 func (i *Instance) engines() []storer.Instance {
 	var engines []storer.Instance
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -13,6 +13,23 @@
 	state *termState
 }
 
+// Fence is what those who act under a term need of it.
+type Fence struct {
+	// Epoch is the fencing number.
+	Epoch uint64
+	// Check returns an error once another instance may hold the duty. It is to be
+	// called immediately before each act.
+	Check func() error
+}
+
+// Fence returns what those who act under the term need.
+func (t Term) Fence() Fence {
+	return Fence{
+		Epoch: t.Epoch(),
+		Check: t.Check,
+	}
+}
+
 // termState is shared by all copies of a Term.
 type termState struct {
 	duty   string
--- a/internal/limiter/favour.go
+++ b/internal/limiter/favour.go
@@ -68,12 +68,18 @@
 
 // helpers are instances of the own failure domain that may do favours.
 func (l *Limiter) helpers() []messenger.Peer {
+	peers := l.alive(l.config.Domain)
+	return peers[:min(len(peers), favourAsks)]
+}
+
+// alive are the live instances of a failure domain, without this one.
+func (l *Limiter) alive(domain string) []messenger.Peer {
 	if l.config.Members == nil {
 		return nil
 	}
 	var peers []messenger.Peer
 	for _, member := range l.config.Members() {
-		if member.Domain == l.config.Domain && member.State == tracker.Alive && len(peers) < favourAsks {
+		if member.Domain == domain && member.State == tracker.Alive {
 			peers = append(peers, member.Peer)
 		}
 	}
--- a/internal/limiter/seeker.go
+++ b/internal/limiter/seeker.go
@@ -8,7 +8,6 @@
 
 	"github.com/buckthorngap/buckthorngap/internal/limiter/limiterpb"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
-	"github.com/buckthorngap/buckthorngap/internal/tracker"
 )
 
 // TopicPlea carries the pleas of limit duties to other failure domains.
@@ -83,12 +82,9 @@
 	if domain == s.lender.limiter.config.Domain {
 		return chosen, false
 	}
-	for _, member := range s.lender.limiter.config.Members() {
-		if member.Domain != domain || member.State != tracker.Alive {
-			continue
-		}
-		if !found || member.Peer.Name == s.holders[domain] {
-			chosen, found = member.Peer, true
+	for _, peer := range s.lender.limiter.alive(domain) {
+		if !found || peer.Name == s.holders[domain] {
+			chosen, found = peer, true
 		}
 	}
 	return chosen, found
@@ -138,9 +134,9 @@
 // redirect has the plea ask the instance that holds the duty. It reports false
 // if that is not a live instance of the domain.
 func (p *plea) redirect(holder string) bool {
-	for _, member := range p.seeker.lender.limiter.config.Members() {
-		if member.Peer.Name == holder && member.Domain == p.domain && member.State == tracker.Alive {
-			p.peer = member.Peer
+	for _, peer := range p.seeker.lender.limiter.alive(p.domain) {
+		if peer.Name == holder {
+			p.peer = peer
 			return true
 		}
 	}
--- a/internal/limiter/waiting.go
+++ b/internal/limiter/waiting.go
@@ -75,24 +75,29 @@
 
 // expire refuses the reservations whose time to wait is over.
 func (b *bucket) expire(now time.Time) {
-	waiters := b.waiters
-	b.waiters = nil
-	for _, w := range waiters {
+	b.sift(now, func(w *waiter, place int) (time.Time, bool) {
 		if now.Before(w.deadline) {
-			b.waiters = append(b.waiters, w)
-			continue
+			return time.Time{}, false
 		}
-		w.answer <- refuseRate(now, b.available(now, w.tokens, len(b.waiters)))
-	}
+		return b.available(now, w.tokens, place), true
+	})
 }
 
 // giveUp refuses the reservations that the holder cannot serve in time.
 func (b *bucket) giveUp(now time.Time) {
+	b.sift(now, func(w *waiter, place int) (time.Time, bool) {
+		at := b.available(now, w.tokens, place)
+		return at, at.IsZero() || at.After(w.deadline)
+	})
+}
+
+// sift refuses the waiting reservations whose wait ends, and tells them when
+// their tokens can be there. Place is the number of those before one that stay.
+func (b *bucket) sift(now time.Time, ends func(w *waiter, place int) (at time.Time, ended bool)) {
 	waiters := b.waiters
 	b.waiters = nil
 	for _, w := range waiters {
-		at := b.available(now, w.tokens, len(b.waiters))
-		if at.IsZero() || at.After(w.deadline) {
+		if at, ended := ends(w, len(b.waiters)); ended {
 			w.answer <- refuseRate(now, at)
 			continue
 		}
--- a/internal/placer/config.go
+++ b/internal/placer/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorngap/buckthorngap/internal/holder"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/orderer"
 	"github.com/buckthorngap/buckthorngap/internal/parser"
@@ -14,13 +15,7 @@
 )
 
 // Term is the holding of a duty at one epoch.
-type Term struct {
-	// Epoch is the fencing number.
-	Epoch uint64
-	// Check returns an error once the duty may be held by another instance. It
-	// is called immediately before each order.
-	Check func() error
-}
+type Term = holder.Fence
 
 // Config is what a Placer needs.
 type Config struct {
--- a/internal/stager/adapters.go
+++ b/internal/stager/adapters.go
@@ -38,12 +38,11 @@
 			return ready, err
 		}
 	}
-	return time.Time{}, unavailableUntil("the engine carries out another order", s.config.Now().Add(unloading))
+	return time.Time{}, occupied(s.config.Now().Add(unloading))
 }
 
 // tryAdapter orders the load once. Its caller holds the book's lock.
 func (s *Stager) tryAdapter(ctx context.Context, term Term, b *book, instance storer.Instance, checkpoint, adapter string) (time.Time, error) {
-	b.doubt = b.doubt || b.busy
 	if err := s.refresh(ctx, b, instance); err != nil {
 		return time.Time{}, err
 	}
@@ -57,10 +56,10 @@
 		return now, nil
 	}
 	if now.Before(b.until) {
-		return time.Time{}, unavailableUntil("the engine carries out another order", b.until)
+		return time.Time{}, occupied(b.until)
 	}
 	if b.busy {
-		return time.Time{}, unavailableUntil("the engine carries out another order", now.Add(unloading))
+		return time.Time{}, occupied(now.Add(unloading))
 	}
 	if err := s.makeRoom(ctx, term, b, instance, adapter, current); err != nil {
 		return time.Time{}, err
@@ -119,15 +118,15 @@
 	return nil
 }
 
-// refresh brings a book up to date. After an order without an answer the
-// engine itself is asked.
+// refresh brings a book up to date. While the engine is busy or in doubt, as
+// after an order without an answer, it is asked itself.
 func (s *Stager) refresh(ctx context.Context, b *book, instance storer.Instance) error {
 	row, ok := s.config.Row(instance.Name)
 	if !ok {
 		return unavailable("the engine is not listed")
 	}
 	b.learn(row)
-	if !b.doubt {
+	if !b.doubt && !b.busy {
 		return nil
 	}
 	report, err := s.config.Read(ctx, instance)
--- a/internal/stager/config.go
+++ b/internal/stager/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorngap/buckthorngap/internal/holder"
 	"github.com/buckthorngap/buckthorngap/internal/lister"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
@@ -16,13 +17,7 @@
 )
 
 // Term is the holding of a duty at one epoch.
-type Term struct {
-	// Epoch is the fencing number.
-	Epoch uint64
-	// Check returns an error once another instance may hold the duty. It is
-	// called immediately before each order.
-	Check func() error
-}
+type Term = holder.Fence
 
 // Config is what a Stager needs.
 type Config struct {
@@ -36,8 +31,8 @@
 	Term func(duty string) (Term, bool)
 	// Owner returns the holder of a duty of the own domain, as far as known.
 	Owner func(duty string) (messenger.Peer, uint64, bool)
-	// Members lists the other instances.
-	Members func() []tracker.Member
+	// Alive lists the other live instances of a failure domain.
+	Alive func(domain string) []tracker.Member
 	// Call sends a message to a peer.
 	Call messenger.Caller
 	// Snapshot is the configuration in force.
--- a/internal/stager/dump.go
+++ b/internal/stager/dump.go
@@ -56,14 +56,12 @@
 	state := State{
 		Rates: s.demand.rates(),
 	}
-	for _, name := range Duties(s.config.Groups) {
-		if term, ok := s.config.Term(name); ok {
-			state.Duties = append(state.Duties, DutyState{
-				Duty:  name,
-				Epoch: term.Epoch,
-				Since: since[name].at,
-			})
-		}
+	for name, term := range s.terms() {
+		state.Duties = append(state.Duties, DutyState{
+			Duty:  name,
+			Epoch: term.Epoch,
+			Since: since[name].at,
+		})
 	}
 	for engine, kept := range books {
 		state.Engines = append(state.Engines, kept.dump(engine))
--- a/internal/stager/engine_test.go
+++ b/internal/stager/engine_test.go
@@ -188,7 +188,7 @@
 		Domains:  func() []string { return []string{"a"} },
 		Term:     func(string) (Term, bool) { return f.term, f.held },
 		Owner:    func(string) (messenger.Peer, uint64, bool) { return messenger.Peer{}, 0, false },
-		Members:  func() []tracker.Member { return nil },
+		Alive:    func(string) []tracker.Member { return nil },
 		Snapshot: func() *configurator.Snapshot { return snapshot },
 		Upstreams: func() []storer.Instance {
 			return []storer.Instance{f.entry().Instance}
--- a/internal/stager/errors.go
+++ b/internal/stager/errors.go
@@ -81,6 +81,11 @@
 	}
 }
 
+// occupied reports an engine that takes no order before a time.
+func occupied(until time.Time) error {
+	return unavailableUntil("the engine carries out another order", until)
+}
+
 // until is when what an error is about may be loaded; zero if not known.
 func until(err error) time.Time {
 	var failed *Unavailable
--- a/internal/stager/models.go
+++ b/internal/stager/models.go
@@ -55,9 +55,9 @@
 		return "", now, unavailable("nothing that is asked for less can make way")
 	}
 	until := now.Add(chosen.site.load + swapPause)
-	p := s.pace(name, snapshot, service)
-	if !chosen.site.remote {
-		p = nil
+	var p *pace
+	if chosen.site.remote {
+		p = s.pace(name, snapshot, service)
 	}
 	if p != nil && !p.take(now, until) {
 		return "", now, unavailableUntil("the weight store is busy", p.next(now))
@@ -67,7 +67,7 @@
 		if p != nil {
 			p.done()
 		}
-		return "", now, unavailableUntil("the engine carries out another order", now.Add(swapPause))
+		return "", now, occupied(now.Add(swapPause))
 	}
 	w := &swap{
 		stager:     s,
--- a/internal/stager/question.go
+++ b/internal/stager/question.go
@@ -10,7 +10,6 @@
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/internal/stager/stagerpb"
-	"github.com/buckthorngap/buckthorngap/internal/tracker"
 	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
@@ -140,17 +139,12 @@
 // doors are up to two instances of another domain to ask, in an order in which
 // the questions about different duties begin at different ones.
 func (s *Stager) doors(domain string, number uint32) []messenger.Peer {
-	var peers []messenger.Peer
-	for _, member := range s.config.Members() {
-		if member.Domain == domain && member.State == tracker.Alive {
-			peers = append(peers, member.Peer)
-		}
-	}
-	if len(peers) < 2 {
-		return peers
+	members := s.config.Alive(domain)
+	peers := make([]messenger.Peer, min(len(members), 2))
+	for i := range peers {
+		peers[i] = members[(int(number)+i)%len(members)].Peer
 	}
-	first := int(number) % len(peers)
-	return []messenger.Peer{peers[first], peers[(first+1)%len(peers)]}
+	return peers
 }
 
 // modelTime ends a question about a model.
--- a/internal/stager/spread.go
+++ b/internal/stager/spread.go
@@ -59,9 +59,8 @@
 // are held here. The duties take turns by the number of copies, so that one
 // holder at a time adds one.
 func (s *Stager) spread(ctx context.Context) {
-	for _, name := range Duties(s.config.Groups) {
-		term, ok := s.config.Term(name)
-		if !ok || s.quiet(name, term) > 0 {
+	for name, term := range s.terms() {
+		if s.quiet(name, term) > 0 {
 			continue
 		}
 		for service := range s.config.Snapshot().Services() {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -11,13 +11,13 @@
 import (
 	"context"
 	"hash/fnv"
+	"iter"
 	"strconv"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/buckthorngap/buckthorngap/internal/lister"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/stager/stagerpb"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
@@ -226,34 +226,38 @@
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, name := range Duties(s.config.Groups) {
-		if _, ok := s.config.Term(name); !ok {
-			continue
-		}
+	for name := range s.terms() {
 		for service := range s.config.Snapshot().Services() {
-			for engine, row := range s.engines(name, service.Name) {
-				group.Go(func() { s.inspect(ctx, engine, row) })
+			for _, row := range s.engines(name, service.Name) {
+				group.Go(func() { s.inspect(ctx, row.Instance) })
 			}
 		}
 	}
 	group.Wait()
 }
 
-// inspect reads the report of an engine if there is a need.
-func (s *Stager) inspect(ctx context.Context, engine string, row lister.Row) {
-	b := s.book(engine)
+// inspect brings the book of an engine up to date, unless a swap does.
+func (s *Stager) inspect(ctx context.Context, engine storer.Instance) {
+	b := s.book(engine.Name)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.learn(row)
-	if b.target != "" || !b.doubt && !b.busy {
+	if b.target != "" {
 		return
 	}
-	report, err := s.config.Read(ctx, row.Instance)
-	if err != nil {
-		s.config.Log.WithField("engine", engine).WithError(err).Info("stage.unread")
-		return
+	if err := s.refresh(ctx, b, engine); err != nil {
+		s.config.Log.WithField("engine", engine.Name).WithError(err).Info("stage.unread")
+	}
+}
+
+// terms are the duties that are held here.
+func (s *Stager) terms() iter.Seq2[string, Term] {
+	return func(yield func(string, Term) bool) {
+		for _, name := range Duties(s.config.Groups) {
+			if term, ok := s.config.Term(name); ok && !yield(name, term) {
+				return
+			}
+		}
 	}
-	b.read(s.config.Now(), report)
 }
 
 // watching is the time between looks at the duties and books.
@@ -261,10 +265,8 @@
 
 // watch notes terms from their beginning and forgets engines that are gone.
 func (s *Stager) watch() {
-	for _, name := range Duties(s.config.Groups) {
-		if term, ok := s.config.Term(name); ok {
-			_ = s.quiet(name, term)
-		}
+	for name, term := range s.terms() {
+		_ = s.quiet(name, term)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
