Let two instances of each failure domain read the store for the others

Cause: every instance watched the whole store by itself, so calls and decoding grew with instances times engines.

Now two instances of a domain of five or more read, larger ones first, twice as often; the others ask them in each pause for what changed after the revision that they know. An answer tells how long ago the store said so; whoever gets no fresh one reads the store itself, as before. Entries that say the same again are not decoded, and told only to holders of orders.

Ruled out: a longer pause (the bounds of configuration and draining leave none), stale reads (seconds old), duties for the readers (a takeover lasts longer than the bound).

TestCallsDoNotGrowWithInstances was red with every instance reading.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +21,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/parser"
 	"github.com/buckthorngap/buckthorngap/internal/queuer"
+	"github.com/buckthorngap/buckthorngap/internal/relayer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/internal/server"
@@ -59,9 +62,12 @@
 	Order func(ctx context.Context, engine storer.Instance, order stager.Order) (stager.Answer, error)
 	// Read reads an engine's own report.
 	Read func(ctx context.Context, engine storer.Instance) (reporter.Report, error)
-	// Pause is the least time between two watches of the store. It adds to the
-	// time until a configuration is in force and a leaving upstream gets no new work.
+	// Pause is the least time between two watches of the store by an instance that
+	// reads for itself alone. It adds to the time until a configuration is in force
+	// and a leaving upstream gets no new work.
 	Pause time.Duration
+	// Share is the processor share that the instance may use, in cores.
+	Share float64
 	// Quiet is how long a new holder of engines waits before its first order.
 	Quiet time.Duration
 	// Lenient lets requests that run when their key is withdrawn finish.
@@ -81,6 +87,7 @@
 	instances *lister.Lister
 	enlister  *enlister.Enlister
 	follower  *follower.Follower
+	relayer   *relayer.Relayer
 	probe     *dumper.Probe
 	// readied is what the balancer was told last.
 	readied atomic.Bool
@@ -111,11 +118,12 @@
 	f.wireFrontRequests()
 	f.wireStages()
 	f.wireProbes()
-	f.answer(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers())
+	f.answer(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers(), f.relayer.Handlers())
 	made, err := enlister.New(enlister.Config{
 		Name:    settings.Name,
 		Domain:  settings.Domain,
 		Address: f.selfPeer().Address,
+		Share:   config.Share,
 		Store:   config.Store,
 		Log:     f.log,
 	})
@@ -132,12 +140,11 @@
 	})
 	f.snapshot = f.adopter.Current
 	f.upstreams = lister.New(lister.Config{
-		Prefix:  f.config.Upstreams.Prefix,
-		Decode:  f.config.Upstreams.Decode,
-		Return:  f.config.Upstreams.Return,
-		Changed: func(upstream string) { f.router.Update(upstream) },
-		Now:     f.now,
-		Log:     f.log,
+		Prefix: f.config.Upstreams.Prefix,
+		Decode: f.config.Upstreams.Decode,
+		Return: f.config.Upstreams.Return,
+		Now:    f.now,
+		Log:    f.log,
 	})
 	f.instances = lister.New(lister.Config{
 		Prefix: enlister.Prefix,
@@ -146,11 +153,70 @@
 		Now:    f.now,
 		Log:    f.log.WithField("list", "instances"),
 	})
+	f.relayer = relayer.New(relayer.Config{
+		Self:  f.self.Name,
+		Peers: f.neighbours,
+		Share: f.share,
+		Call: func(ctx context.Context, to messenger.Peer, topic string, payload []byte) ([]byte, error) {
+			return f.messenger.Call(ctx, to, topic, payload)
+		},
+		Renewals: f.staging,
+		Pause:    f.config.Pause,
+		Now:      f.now,
+		Log:      f.log,
+	})
 	f.follower = follower.New(follower.Config{
-		Store: f.store,
-		Pause: f.config.Pause,
-		Apply: f.apply,
-		Log:   f.log,
+		Store:   f.store,
+		Pause:   f.relayer.Pause,
+		Relayed: f.relayer.Fetch,
+		Taken:   f.relayer.Take,
+		Keep:    f.keep,
+		Essence: f.essence,
+		Apply:   f.apply,
+		Now:     f.now,
+		Log:     f.log,
+	})
+}
+
+// keep tells whether an entry of the store is followed. Others are read by the
+// parts that write them.
+func (f *Front) keep(key string) bool {
+	return key == f.config.Configuration.Key || strings.HasPrefix(key, f.config.Upstreams.Prefix) || strings.HasPrefix(key, enlister.Prefix)
+}
+
+// essence is what of an entry's value matters.
+func (f *Front) essence(entry storer.Entry) []byte {
+	if strings.HasPrefix(entry.Key, f.config.Upstreams.Prefix) {
+		return f.config.Upstreams.Essence(entry)
+	}
+	return entry.Value
+}
+
+// neighbours are the other live instances of the own failure domain.
+func (f *Front) neighbours() []messenger.Peer {
+	members := f.tracker.Alive(f.settings.Domain)
+	peers := make([]messenger.Peer, 0, len(members))
+	for _, member := range members {
+		peers = append(peers, member.Peer)
+	}
+	return peers
+}
+
+// share is the processor share of an instance, as far as it is listed.
+func (f *Front) share(name string) float64 {
+	if name == f.self.Name {
+		return f.config.Share
+	}
+	row, _ := f.instances.Row(name)
+	return row.Instance.Share
+}
+
+// staging tells whether this instance orders loads: it then needs to know how
+// old what engines say is, also where they say nothing new.
+func (f *Front) staging() bool {
+	return slices.ContainsFunc(stager.Duties(f.settings.Duties.Placements), func(name string) bool {
+		_, held := f.holder.Term(name)
+		return held
 	})
 }
 
@@ -278,6 +344,7 @@
 			"messages":      f.messenger.Dump,
 			"membership":    f.tracker.Dump,
 			"configuration": f.adopter.Dump,
+			"store":         f.relayer.Dump,
 			"upstreams":     f.upstreams.Dump,
 			"duties":        f.holder.Dump,
 			"limits":        f.limiter.Dump,
--- a/internal/app/registry.go
+++ b/internal/app/registry.go
@@ -13,6 +13,8 @@
 	Prefix string
 	// Decode reads one entry.
 	Decode func(entry storer.Entry) (lister.Row, error)
+	// Essence is what of an entry's value matters.
+	Essence func(entry storer.Entry) []byte
 	// Return is how long upstreams have to register again after an outage.
 	Return time.Duration
 }
--- a/internal/enlister/enlister.go
+++ b/internal/enlister/enlister.go
@@ -44,6 +44,8 @@
 	Domain string
 	// Address is where peers reach it.
 	Address netip.AddrPort
+	// Share is the processor share that it may use, in cores; zero if not known.
+	Share float64
 	// Store is the platform's key-value service.
 	Store *storer.Store
 	// Log gets one line for each registration and loss of it.
@@ -62,6 +64,7 @@
 	value, err := json.Marshal(entry{
 		Domain:  config.Domain,
 		Address: config.Address,
+		Share:   config.Share,
 	})
 	if err != nil {
 		return nil, &Unreadable{
@@ -78,6 +81,7 @@
 type entry struct {
 	Domain  string         `json:"domain"`
 	Address netip.AddrPort `json:"address"`
+	Share   float64        `json:"share,omitempty"`
 }
 
 // Run keeps the entry until the context ends, then ends the lease. It returns nil.
@@ -124,18 +128,17 @@
 	if err != nil {
 		return err
 	}
-	key := Prefix + e.config.Name
-	found, err := e.config.Store.Get(ctx, key)
-	var absent *storer.Absent
-	if err != nil && !errors.As(err, &absent) {
-		return err
+	entry := storer.Swap{
+		Key:   Prefix + e.config.Name,
+		Value: e.value,
+		Lease: lease.ID,
+	}
+	written, err := e.config.Store.Swap(ctx, entry)
+	var former *storer.Conflict
+	if errors.As(err, &former) {
+		entry.Expected = former.Current
+		written, err = e.config.Store.Swap(ctx, entry)
 	}
-	written, err := e.config.Store.Swap(ctx, storer.Swap{
-		Key:      key,
-		Value:    e.value,
-		Expected: found.Revision,
-		Lease:    lease.ID,
-	})
 	if err != nil {
 		return err
 	}
@@ -175,6 +178,7 @@
 			Domain:  read.Domain,
 			Role:    storer.RoleEntry,
 			Address: read.Address,
+			Share:   max(0, read.Share),
 		},
 		Report: reporter.Report{
 			Sequence: uint64(found.Revision),
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -61,7 +61,7 @@
 	var updates []follower.Update
 	f := follower.New(follower.Config{
 		Store: s.store(),
-		Pause: pause,
+		Pause: func() time.Duration { return pause },
 		Apply: func(update follower.Update) { updates = append(updates, update) },
 		Log:   quiet(),
 	})
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -54,6 +54,8 @@
 	missing map[string]time.Time
 	// returned is until when entries may be missing because the store was away.
 	returned time.Time
+	// list are the upstreams in the order of names; nil if they changed since.
+	list []storer.Instance
 }
 
 // New returns an empty Lister.
@@ -98,6 +100,7 @@
 			changed = append(changed, name)
 		}
 	}
+	l.renew(now, update.Renewed)
 	for _, key := range update.Deleted {
 		if name := l.name(key); !present[name] && l.drop(now, name) {
 			changed = append(changed, name)
@@ -133,12 +136,29 @@
 	}
 	row.Instance.Name = name
 	row.Received = now
+	if old.Instance != row.Instance {
+		l.list = nil
+	}
 	l.rows[name] = row
 	delete(l.missing, name)
 	l.describe(known, old, row)
 	return true
 }
 
+// renew notes that upstreams said the same again.
+func (l *Lister) renew(now time.Time, renewals []follower.Renewal) {
+	for _, renewal := range renewals {
+		name, ok := strings.CutPrefix(renewal.Key, l.config.Prefix)
+		row, known := l.rows[name]
+		if !ok || !known || row.Report.Sequence >= uint64(renewal.Revision) {
+			continue
+		}
+		row.Report.Sequence = uint64(renewal.Revision)
+		row.Received = now
+		l.rows[name] = row
+	}
+}
+
 func (l *Lister) describe(known bool, old, row Row) {
 	if known && old.Instance == row.Instance && old.Report.Start == row.Report.Start {
 		return
@@ -174,6 +194,7 @@
 	row := l.rows[name]
 	delete(l.rows, name)
 	delete(l.missing, name)
+	l.list = nil
 	l.config.Log.WithFields(logrus.Fields{
 		"upstream": row.Instance.Name,
 		"service":  row.Instance.Service,
@@ -184,20 +205,20 @@
 
 // Upstreams returns the list in the order of names.
 func (l *Lister) Upstreams() []storer.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.expire()
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	list := make([]storer.Instance, 0, len(l.rows))
-	for _, name := range slices.Sorted(maps.Keys(l.rows)) {
-		list = append(list, l.rows[name].Instance)
+	if l.list == nil {
+		l.list = make([]storer.Instance, 0, len(l.rows))
+		for _, name := range slices.Sorted(maps.Keys(l.rows)) {
+			l.list = append(l.list, l.rows[name].Instance)
+		}
 	}
-	return list
+	return slices.Clone(l.list)
 }
 
 // expire takes off the list what did not register again in time.
 func (l *Lister) expire() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if len(l.missing) == 0 {
 		return
 	}
--- a/internal/lister/lister_test.go
+++ b/internal/lister/lister_test.go
@@ -145,3 +145,29 @@
 	f.now = f.now.Add(1100 * time.Millisecond)
 	is.Equal(f.names(), []string{"a"}) // the other one is gone
 }
+
+// TestRenewalIsNewerAndSaysTheSame plays an upstream that writes its entry again.
+func TestRenewalIsNewerAndSaysTheSame(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Apply(follower.Update{
+		Entries: []storer.Entry{entry("a", "ready", 5)},
+	})
+	before, _ := f.Row("a")
+	f.Apply(follower.Update{
+		Renewed: []follower.Renewal{
+			{
+				Key:      "up/a",
+				Revision: 9,
+			},
+			{
+				Key:      "up/unknown",
+				Revision: 10,
+			},
+		},
+	})
+	after, _ := f.Row("a")
+	is.Equal(after.Report.Sequence, uint64(9))
+	is.Equal(after.Instance, before.Instance)
+	is.Equal(len(f.Upstreams()), 1)
+}
--- /dev/null
+++ b/internal/relayer/fleet_test.go
@@ -0,0 +1,381 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorngap/buckthorngap/internal/emulator/network"
+	"github.com/buckthorngap/buckthorngap/internal/follower"
+	"github.com/buckthorngap/buckthorngap/internal/messenger"
+	"github.com/buckthorngap/buckthorngap/internal/relayer"
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
+)
+
+const (
+	// bound is the time within which a change must be known everywhere.
+	bound = 4 * time.Second
+	// pause is the time between two readings by an instance on its own.
+	pause = bound / 3
+	// death is how long others go on taking a dead instance for a live one.
+	death = 7 * time.Second
+	// answerTime is how long the store and peers take to answer.
+	answerTime = 4 * time.Millisecond
+)
+
+// store is the platform's store: entries of upstreams that are written again and
+// again, and one document.
+type store struct {
+	mu       sync.Mutex
+	revision storer.Revision
+	events   []storer.Entry
+	// forgotten is the revision up to which the history is gone.
+	forgotten storer.Revision
+	down      bool
+	calls     int
+}
+
+func (s *store) write(key, value string) storer.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.events = append(s.events, storer.Entry{
+		Key:      key,
+		Value:    []byte(value),
+		Revision: s.revision,
+	})
+	return s.revision
+}
+
+// since are the newest entries written after a revision.
+func (s *store) since(after storer.Revision) storer.Changes {
+	newest := map[string]storer.Entry{}
+	for _, event := range s.events {
+		if event.Revision > after {
+			newest[event.Key] = event
+		}
+	}
+	changes := storer.Changes{
+		Revision: s.revision,
+	}
+	for _, entry := range newest {
+		changes.Entries = append(changes.Entries, entry)
+	}
+	return changes
+}
+
+// bind is the store as a node reaches it.
+func (s *store) bind(n *node) *storer.Store {
+	call := func(ctx context.Context) error {
+		n.gate.Wait()
+		s.mu.Lock()
+		s.calls++
+		away := s.down || n.cut
+		s.mu.Unlock()
+		if away {
+			<-ctx.Done()
+			return &storer.Unavailable{}
+		}
+		time.Sleep(answerTime)
+		n.gate.Wait()
+		return nil
+	}
+	return &storer.Store{
+		Scan: func(ctx context.Context, _ string) (storer.Changes, error) {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			if err := call(ctx); err != nil {
+				return storer.Changes{}, err
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.since(0), nil
+		},
+		Watch: func(ctx context.Context, _ string, after storer.Revision) (storer.Changes, error) {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			if err := call(ctx); err != nil {
+				return storer.Changes{}, err
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if after < s.forgotten {
+				return storer.Changes{}, &storer.Compacted{}
+			}
+			return s.since(after), nil
+		},
+	}
+}
+
+// node is one instance.
+type node struct {
+	fleet  *fleet
+	peer   messenger.Peer
+	domain string
+	gate   *network.Gate
+	// cut is set while the store does not answer this instance.
+	cut  bool
+	died time.Time
+	// excused is set if nothing is asked of it for now.
+	excused bool
+
+	mu      sync.Mutex
+	known   map[string]storer.Revision
+	decoded int
+	wholes  int
+}
+
+func (n *node) apply(update follower.Update) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if update.Whole {
+		n.wholes++
+	}
+	n.decoded += len(update.Entries)
+	for _, entry := range update.Entries {
+		if entry.Revision < n.known[entry.Key] {
+			n.fleet.reverted = true
+		}
+		n.known[entry.Key] = entry.Revision
+	}
+	for _, renewal := range update.Renewed {
+		n.known[renewal.Key] = max(n.known[renewal.Key], renewal.Revision)
+	}
+}
+
+// fleet are instances before one store.
+type fleet struct {
+	store   *store
+	network *network.Network
+	nodes   []*node
+	// reverted is set if an instance was given an older entry for a newer one.
+	reverted bool
+	group    sync.WaitGroup
+}
+
+func newFleet(ctx context.Context, domains, members int) *fleet {
+	f := &fleet{
+		store: &store{},
+		network: network.New(network.Config{
+			Delay: func(string, string) time.Duration { return answerTime / 2 },
+		}),
+	}
+	for d := range domains {
+		for i := range members {
+			f.add(ctx, fmt.Sprintf("d%d", d), fmt.Sprintf("d%d-i%d", d, i), len(f.nodes))
+		}
+	}
+	return f
+}
+
+func (f *fleet) add(ctx context.Context, domain, name string, index int) {
+	n := &node{
+		fleet:  f,
+		domain: domain,
+		peer: messenger.Peer{
+			Name:    name,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(index >> 8), byte(index)}), 7000),
+		},
+		gate:  &network.Gate{},
+		known: map[string]storer.Revision{},
+	}
+	f.nodes = append(f.nodes, n)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	wire := &network.Node{
+		Self: messenger.Sender{
+			Name:   name,
+			Domain: domain,
+		},
+		Peer: n.peer,
+		Gate: n.gate,
+	}
+	r := relayer.New(relayer.Config{
+		Self:  name,
+		Peers: func() []messenger.Peer { return f.alive(n) },
+		Share: func(instance string) float64 {
+			if large(instance) {
+				return 0.8
+			}
+			return 0.2
+		},
+		Call:     f.network.Caller(wire),
+		Renewals: func() bool { return false },
+		Pause:    pause,
+		Log:      log,
+	})
+	wire.Handlers = r.Handlers()
+	f.network.Join(wire)
+	made := follower.New(follower.Config{
+		Store:   f.store.bind(n),
+		Pause:   r.Pause,
+		Relayed: r.Fetch,
+		Taken:   r.Take,
+		Apply:   n.apply,
+		Log:     log,
+	})
+	f.group.Go(func() {
+		time.Sleep(time.Duration(index) * time.Millisecond)
+		_ = made.Run(ctx)
+	})
+}
+
+// alive are the others of a node's failure domain, as it takes them to be.
+func (f *fleet) alive(self *node) []messenger.Peer {
+	var peers []messenger.Peer
+	for _, n := range f.nodes {
+		if n == self || n.domain != self.domain || !n.died.IsZero() && time.Since(n.died) > death {
+			continue
+		}
+		peers = append(peers, n.peer)
+	}
+	return peers
+}
+
+func (f *fleet) kill(n *node) {
+	n.died = time.Now()
+	n.gate.Kill()
+}
+
+// run writes entries of upstreams that say the same again, and every second one
+// that is new, and returns the longest time until all live instances that reach
+// the store or a peer knew of a new one.
+func (f *fleet) run(span time.Duration) time.Duration {
+	worst := time.Duration(0)
+	for second := range int(span / time.Second) {
+		began := time.Now()
+		revision := f.store.write("config", fmt.Sprint(time.Now().UnixNano()))
+		for beat := 0; time.Since(began) < time.Second; beat++ {
+			f.store.write(fmt.Sprintf("servers/%d", beat), "same")
+			time.Sleep(10 * time.Millisecond)
+		}
+		if second%4 != 0 {
+			continue
+		}
+		for !f.everywhere(revision) && time.Since(began) < 3*bound {
+			time.Sleep(10 * time.Millisecond)
+		}
+		worst = max(worst, time.Since(began))
+	}
+	return worst
+}
+
+func (f *fleet) everywhere(revision storer.Revision) bool {
+	return !slices.ContainsFunc(f.nodes, func(n *node) bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.died.IsZero() && !n.excused && n.known["config"] < revision
+	})
+}
+
+// large tells whether an instance has more processor time than others.
+func large(instance string) bool { return strings.HasSuffix(instance, "0") }
+
+// first are the instances that read for each failure domain, and one more.
+func (f *fleet) first() []*node {
+	var readers []*node
+	for _, n := range f.nodes {
+		if large(n.peer.Name) {
+			readers = append(readers, n)
+		}
+	}
+	return readers
+}
+
+func playFleet(t *testing.T, play func(is *is.I, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 2, 30)
+		defer func() {
+			cancel()
+			for _, n := range f.nodes {
+				n.gate.Thaw()
+			}
+			f.group.Wait()
+		}()
+		f.run(4 * time.Second) // the start
+		play(is, f)
+		is.True(!f.reverted)
+	})
+}
+
+// TestCallsDoNotGrowWithInstances plays 60 instances that would take 45 calls a
+// second each on its own.
+func TestCallsDoNotGrowWithInstances(t *testing.T) {
+	playFleet(t, func(is *is.I, f *fleet) {
+		before, decoded := f.store.calls, f.nodes[5].decoded
+		began := time.Now()
+		is.True(f.run(20*time.Second) < bound/2)
+		perSecond := float64(f.store.calls-before) / time.Since(began).Seconds()
+		is.True(perSecond <= 2*2*2/pause.Seconds()) // two readers a domain, twice a pause
+		is.True(f.nodes[5].decoded-decoded <= 25)   // what says the same again is not decoded
+	})
+}
+
+func TestChangesArriveWhenAllReadersDie(t *testing.T) {
+	playFleet(t, func(is *is.I, f *fleet) {
+		for _, n := range f.first() {
+			f.kill(n)
+		}
+		is.True(f.run(20*time.Second) < bound)
+	})
+}
+
+func TestChangesArriveWhenReadersFreeze(t *testing.T) {
+	playFleet(t, func(is *is.I, f *fleet) {
+		for _, n := range f.first() {
+			n.gate.Freeze()
+			n.excused = true
+		}
+		is.True(f.run(12*time.Second) < bound)
+	})
+}
+
+func TestChangesArriveWhenTheStoreTurnsReadersAway(t *testing.T) {
+	playFleet(t, func(is *is.I, f *fleet) {
+		for _, n := range f.first() {
+			n.cut = true
+			n.excused = true
+		}
+		is.True(f.run(12*time.Second) < bound)
+	})
+}
+
+func TestHistoryThatTheStoreForgetsIsReadAnew(t *testing.T) {
+	playFleet(t, func(is *is.I, f *fleet) {
+		f.store.mu.Lock()
+		f.store.forgotten = f.store.revision
+		f.store.mu.Unlock()
+		is.True(f.run(8*time.Second) < bound)
+		others := 0
+		for _, n := range f.nodes {
+			others += n.wholes
+		}
+		is.True(others <= 2*len(f.nodes)) // the start's, and nobody reads all again and again
+	})
+}
+
+func TestReturnOfTheStoreIsToldToAll(t *testing.T) {
+	playFleet(t, func(is *is.I, f *fleet) {
+		f.store.mu.Lock()
+		f.store.down = true
+		f.store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		f.store.mu.Lock()
+		f.store.down = false
+		f.store.mu.Unlock()
+		is.True(f.run(4*time.Second) < bound)
+	})
+}
--- a/pkg/storer/instance.go
+++ b/pkg/storer/instance.go
@@ -29,4 +29,6 @@
 	Address netip.AddrPort `json:"address"`
 	// Leaving is set once the platform has announced that it will go.
 	Leaving bool `json:"leaving"`
+	// Share is the processor share that it may use, in cores; zero if not known.
+	Share float64 `json:"share,omitempty"`
 }
