Cut off upstreams that send bytes without end

Answers end at routing.answer, lines of a stream at routing.event; the failure speaks against the upstream, and what ran is unknown.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -259,6 +259,8 @@
 		Retry:   f.router.Retry,
 		Dial:    dialTime,
 		Dialect: f.config.Dialect,
+		Answer:  routing.Answer,
+		Event:   routing.Event,
 		Log:     f.log,
 	})
 	f.server = server.New(server.Config{
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -36,6 +36,8 @@
 		Pick:        i.router.Pick,
 		PickService: i.router.PickService,
 		Retry:       i.router.Retry,
+		Answer:      i.settings.Routing.Answer,
+		Event:       i.settings.Routing.Event,
 		Log:         i.log,
 	})
 	i.server = server.New(server.Config{
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -114,7 +114,7 @@
 		return failed
 	}
 	c.Begin(answer.status, answer.header)
-	return answer.deliver(c.Write)
+	return answer.deliver(f.allowance(0), c.Write)
 }
 
 // broken is the failure of an answer that broke off.
--- a/internal/forwarder/routed.go
+++ b/internal/forwarder/routed.go
@@ -302,16 +302,20 @@
 
 func (r *routing) finish(answer *whole) *failure {
 	r.routed.Begin(answer.status, answer.header, answer.length)
-	return answer.deliver(r.routed.Write)
+	return answer.deliver(r.forwarder.allowance(0), r.routed.Write)
 }
 
 // stream delivers an answer as it comes.
 func (r *routing) stream(ctx context.Context, response *http.Response) *failure {
 	buffer := streamBuffers.Get().(*[streamBuffer]byte)
 	defer streamBuffers.Put(buffer)
+	allowed := r.forwarder.allowance(r.forwarder.config.Event)
 	begun := false
 	for {
 		n, err := response.Body.Read(buffer[:])
+		if err := allowed.take(buffer[:n]); err != nil {
+			return endless(err, begun)
+		}
 		if n > 0 && !begun {
 			begun = true
 			r.result.First = r.forwarder.config.Now()
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -51,8 +51,11 @@
 	return answer, nil
 }
 
-// deliver passes the body on.
-func (w *whole) deliver(write func(part []byte) error) *failure {
+// deliver passes the body on, as far as is allowed.
+func (w *whole) deliver(allowed *allowance, write func(part []byte) error) *failure {
+	if err := allowed.take(w.body); err != nil {
+		return endless(err, false)
+	}
 	if err := write(w.body); err != nil {
 		return callerGone(err)
 	}
@@ -63,6 +66,9 @@
 	defer streamBuffers.Put(buffer)
 	for {
 		n, err := w.rest.Read(buffer[:])
+		if err := allowed.take(buffer[:n]); err != nil {
+			return endless(err, true)
+		}
 		if n > 0 {
 			if err := write(buffer[:n]); err != nil {
 				return callerGone(err)
--- a/internal/parser/check.go
+++ b/internal/parser/check.go
@@ -125,6 +125,8 @@
 		require("waiting.overnight", s.Waiting.Overnight >= 0 && s.Waiting.Overnight <= s.Waiting.Requests, "must lie between 0 and waiting.requests"),
 		require("routing.running", s.Routing.Running > 0, positive),
 		require("routing.failures", s.Routing.Failures > 0, positive),
+		require("routing.answer", s.Routing.Answer > 0, positive),
+		require("routing.event", s.Routing.Event > 0 && int64(s.Routing.Event) <= s.Routing.Answer, "must be positive and at most routing.answer"),
 		require("routing.retries", s.Routing.Retries >= 0 && s.Routing.Retries <= 1, fraction),
 		require("loading.loads", s.Loading.Loads > 0, positive),
 		require("loading.slots", s.Loading.Slots > 0, positive),
--- a/internal/parser/default.go
+++ b/internal/parser/default.go
@@ -69,6 +69,8 @@
 			Failures: 5,
 			Cooling:  span(2 * time.Second),
 			Retries:  0.1,
+			Answer:   16 << 20,
+			Event:    1 << 20,
 		},
 		Loading: Loading{
 			Loads:    3,
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -180,6 +180,11 @@
 	Cooling Duration `json:"cooling"`
 	// Retries is the budget of retries as a fraction of requests.
 	Retries float64 `json:"retries"`
+	// Answer is the largest answer that is taken from an upstream, in bytes.
+	Answer int64 `json:"answer"`
+	// Event is the longest event or line of a stream that is taken from an
+	// upstream, in bytes.
+	Event int `json:"event"`
 }
 
 // Loading tunes the placement of models.
