Spread the tries at duties after a start over the instances

Cause: let every instance that found another's lock wait for a whole lease after its start.

Tries are now as many a period as candidates there would be if all knew each other, by the number of listed instances: one each on a domain of three, one in a lease on one of 59.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -113,7 +113,7 @@
 		Attach:  func() []byte { return f.stager.Digest() },
 		Deliver: func(from messenger.Peer, digest []byte) { f.stager.Deliver(from, digest) },
 	})
-	f.wireDuties(append(limiter.Duties(settings.Duties.Limits), stager.Duties(settings.Duties.Placements)...))
+	f.wireDuties(append(limiter.Duties(settings.Duties.Limits), stager.Duties(settings.Duties.Placements)...), f.listed)
 	f.wireAdmission()
 	f.wireFrontRequests()
 	f.wireStages()
@@ -235,6 +235,17 @@
 	return f.instances.Upstreams(), nil
 }
 
+// listed is the number of instances of the own failure domain by the list.
+func (f *Front) listed() int {
+	count := 0
+	for _, instance := range f.instances.Upstreams() {
+		if instance.Domain == f.settings.Domain {
+			count++
+		}
+	}
+	return count
+}
+
 // dialTime is how long a connection to an upstream may take: a round trip and
 // the upstream's own work, a few milliseconds, with room for a lost packet.
 const dialTime = 300 * time.Millisecond
--- a/internal/app/state.go
+++ b/internal/app/state.go
@@ -29,7 +29,7 @@
 		Call:    i.messenger.Call,
 		Log:     i.log,
 	})
-	i.wireDuties(append(limiter.Duties(i.settings.Duties.Limits), placer.Duties(i.settings.Duties.Placements)...))
+	i.wireDuties(append(limiter.Duties(i.settings.Duties.Limits), placer.Duties(i.settings.Duties.Placements)...), nil)
 	return nil
 }
 
@@ -67,13 +67,15 @@
 	i.tracker = tracker.New(config)
 }
 
-// wireDuties makes the holder of this instance's duties.
-func (i *Instance) wireDuties(duties []string) {
+// wireDuties makes the holder of this instance's duties, given the number of
+// instances of the failure domain by the platform's list, if that is known.
+func (i *Instance) wireDuties(duties []string, listed func() int) {
 	i.holder = holder.New(holder.Config{
 		Self:      i.self,
 		SelfPeer:  i.selfPeer(),
 		Store:     i.store,
 		Members:   func() []tracker.Member { return i.tracker.Domain(i.self.Domain) },
+		Listed:    listed,
 		Call:      i.messenger.Call,
 		Guard:     i.guard,
 		Duties:    duties,
--- a/internal/holder/claim.go
+++ b/internal/holder/claim.go
@@ -70,12 +70,21 @@
 	c.settleRecord(ctx)
 }
 
-// yield leaves a duty whose lock another instance has to that one, as long as
-// this instance has just started: it has not heard of those that started with it,
-// and a lock that stood before is gone by then.
+// yield waits before the next try at a duty whose lock another instance has, as
+// long as this instance has just started and has not heard who is preferred: in
+// each period about as many instances try as would if all had heard of each other.
 func (d *duty) yield() {
-	if settled := d.holder.started.Add(d.holder.config.Lease); d.claimAt.Before(settled) {
-		d.claimAt = settled
+	config := d.holder.config
+	if config.Listed == nil {
+		return
+	}
+	period := config.Lease / renewals / 2
+	next := config.Now().Add(period * time.Duration(max(1, config.Listed()/candidates)))
+	if settled := d.holder.started.Add(config.Lease); next.After(settled) {
+		next = settled
+	}
+	if d.claimAt.Before(next) {
+		d.claimAt = next
 	}
 }
 
--- a/internal/holder/config.go
+++ b/internal/holder/config.go
@@ -34,6 +34,9 @@
 	Store *storer.Store
 	// Members returns all other instances that are known.
 	Members func() []tracker.Member
+	// Listed is the number of instances of the failure domain by the platform's
+	// list, which is known before they are heard; nil means not known.
+	Listed func() int
 	// Call sends a message.
 	Call messenger.Caller
 	// Guard recognises freezes. It must run, and is shared with the tracker.
