--- /dev/null
+++ b/internal/relayer/fetch_test.go
@@ -0,0 +1,150 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/buckthorngap/buckthorngap/internal/follower"
+	"github.com/buckthorngap/buckthorngap/internal/messenger"
+	"github.com/buckthorngap/buckthorngap/internal/relayer/relayerpb"
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
+)
+
+// asking is a relayer of five instances whose readers answer with the given bytes.
+func asking(answer []byte, asked *int) *Relayer {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Config{
+		Self: "self",
+		Peers: func() []messenger.Peer {
+			return []messenger.Peer{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}}
+		},
+		Share: func(instance string) float64 {
+			if instance == "self" {
+				return 0.1
+			}
+			return 1
+		},
+		Call: func(context.Context, messenger.Peer, string, []byte) ([]byte, error) {
+			*asked++
+			return answer, nil
+		},
+		Pause: time.Second,
+		Log:   log,
+	})
+}
+
+func TestAnswersThatSayNothingRecentAreNotTaken(t *testing.T) {
+	for name, c := range map[string]struct {
+		told  *relayerpb.Told
+		whole bool
+		taken bool
+	}{
+		"fresh":             {&relayerpb.Told{Revision: 7}, false, true},
+		"older revision":    {&relayerpb.Told{Revision: 3}, false, true}, // the follower passes it over
+		"late":              {&relayerpb.Told{Revision: 7, Age: int64(2 * time.Second)}, false, false},
+		"from the future":   {&relayerpb.Told{Revision: 7, Age: -1}, false, false},
+		"knows nothing":     {&relayerpb.Told{}, false, false},
+		"not all":           {&relayerpb.Told{Revision: 7}, true, false},
+		"all, but older":    {&relayerpb.Told{Revision: 3, Whole: true}, true, false},
+		"all that there is": {&relayerpb.Told{Revision: 7, Whole: true}, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			encoded, err := proto.Marshal(c.told)
+			is.NoErr(err)
+			asked := 0
+			r := asking(encoded, &asked)
+			_, ok := r.Fetch(t.Context(), 5, c.whole)
+			is.Equal(ok, c.taken)
+			if !c.taken {
+				is.Equal(asked, readers)
+				_, _ = r.Fetch(t.Context(), 5, c.whole)
+				is.Equal(asked, readers) // readers that failed rest
+			}
+		})
+	}
+}
+
+func TestHistoryTellsWhatCameAfterARevision(t *testing.T) {
+	is := is.New(t)
+	h := history{
+		entries: map[string]storer.Entry{},
+	}
+	entry := func(key string, revision storer.Revision) storer.Entry {
+		return storer.Entry{
+			Key:      key,
+			Revision: revision,
+		}
+	}
+	now := time.Unix(1000, 0)
+	h.take(follower.Update{
+		Whole:    true,
+		Entries:  []storer.Entry{entry("a", 3), entry("b", 4)},
+		Revision: 5,
+	}, now)
+	h.take(follower.Update{
+		Entries:  []storer.Entry{entry("c", 6)},
+		Deleted:  []string{"a"},
+		Revision: 6,
+	}, now)
+	h.take(follower.Update{
+		Renewed: []follower.Renewal{
+			{
+				Key:      "b",
+				Revision: 8,
+			},
+		},
+		Revision: 8,
+		Regained: true,
+	}, now)
+	got := h.since(5, false, true)
+	is.Equal(got.Revision, storer.Revision(8))
+	is.Equal(got.Entries, []storer.Entry{entry("c", 6)})
+	is.Equal(got.Deleted, []string{"a"})
+	is.Equal(len(got.Renewed), 1)
+	is.True(got.Regained)
+	is.Equal(len(h.since(6, false, false).Renewed), 0) // not asked for
+	is.True(!h.since(8, false, true).Regained)
+	is.True(h.since(4, false, true).Whole) // the history does not reach back
+	whole := h.since(0, true, true)
+	is.Equal(whole.Entries, []storer.Entry{entry("b", 8), entry("c", 6)})
+	for range 2 * kept {
+		h.take(follower.Update{
+			Entries:  []storer.Entry{entry("d", h.revision+1)},
+			Revision: h.revision + 1,
+		}, now)
+	}
+	is.True(len(h.updates) <= kept) // bounded
+	is.True(h.since(9, false, true).Whole)
+}
+
+// FuzzAnswer gives the asking side arbitrary bytes for an answer.
+func FuzzAnswer(f *testing.F) {
+	for _, told := range []*relayerpb.Told{
+		{},
+		{Revision: 7, Entries: []*relayerpb.Entry{{Key: "a", Revision: 7}}, Deleted: []string{"b"}},
+		{Revision: 7, Whole: true, Renewed: []*relayerpb.Renewal{{Key: "a", Revision: 7}}},
+	} {
+		encoded, err := proto.Marshal(told)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		asked := 0
+		r := asking(answer, &asked)
+		relayed, ok := r.Fetch(t.Context(), 5, false)
+		if ok && (relayed.Update.Revision == 0 || relayed.Heard.After(time.Now())) {
+			t.Fatalf("took %v", relayed)
+		}
+		_, _ = r.handle(t.Context(), messenger.Sender{}, answer)
+	})
+}
