--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -204,14 +204,14 @@
 	if update.Whole {
 		clear(f.known)
 	}
-	keep := func(key string) bool { return !f.config.Keep(key) }
-	update.Deleted = slices.DeleteFunc(update.Deleted, keep)
+	ignored := func(key string) bool { return !f.config.Keep(key) }
+	update.Deleted = slices.DeleteFunc(update.Deleted, ignored)
 	for _, key := range update.Deleted {
 		delete(f.known, key)
 	}
 	changed := make([]storer.Entry, 0, len(update.Entries))
 	for _, entry := range update.Entries {
-		if !f.config.Keep(entry.Key) {
+		if ignored(entry.Key) {
 			continue
 		}
 		essence := maphash.Bytes(seed, f.config.Essence(entry))
