Log and count the limits that upstreams state

Nothing is held back: the logic is as before.

Log line upstream.limit, part pacing of dump, counters buckthorngap_pace_*.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -137,12 +137,15 @@
 // wireFrontRequests creates the parts that handle a request: router, forwarder and server.
 func (f *Front) wireFrontRequests() {
 	routing, callers := f.settings.Routing, f.settings.Callers
+	f.wirePacer()
 	f.router = router.New(router.Config{
 		Domain:           f.settings.Domain,
 		OtherDomains:     true,
 		EngineTokens:     f.engineTokens,
 		Upstreams:        f.upstreams.Upstreams,
 		Report:           f.upstreams.Report,
+		ObserveLimit:     f.pacer.Observe,
+		CountSent:        f.pacer.CountSent,
 		Changed:          f.dispatchWaiting,
 		AssumedSlots:     routing.Running,
 		FailureThreshold: routing.Failures,
@@ -251,6 +254,7 @@
 			"limits":        f.limiter.Dump,
 			"waiting":       f.queuer.Dump,
 			"routing":       f.router.Dump,
+			"pacing":        f.pacer.Dump,
 			"loads":         f.stager.Dump,
 			"requests":      f.server.Dump,
 		},
--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/logger"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/operator"
+	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/parser"
 	"github.com/buckthorngap/buckthorngap/internal/placer"
 	"github.com/buckthorngap/buckthorngap/internal/queuer"
@@ -45,6 +46,7 @@
 	queuer    *queuer.Queuer
 	claimer   *claimer.Claimer
 	reporter  *reporter.Reporter
+	pacer     *pacer.Pacer
 	router    *router.Router
 	forwarder *forwarder.Forwarder
 	placer    *placer.Placer
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -29,6 +29,7 @@
 			"claims":        i.claimer.Dump,
 			"reports":       i.reporter.Dump,
 			"routing":       i.router.Dump,
+			"pacing":        i.pacer.Dump,
 			"requests":      i.server.Dump,
 			"loading":       i.placer.Dump,
 		},
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
+	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/internal/server"
@@ -22,10 +23,13 @@
 		Changed:      func(upstream string) { i.router.Update(upstream) },
 		OnCacheEvent: func(upstream, prefix string, stored bool) { i.router.RecordCacheEvent(upstream, prefix, stored) },
 	})
+	i.wirePacer()
 	i.router = router.New(router.Config{
 		Domain:           i.settings.Domain,
 		Upstreams:        i.tracker.Upstreams,
 		Report:           i.reporter.Report,
+		ObserveLimit:     i.pacer.Observe,
+		CountSent:        i.pacer.CountSent,
 		Changed:          i.dispatchWaiting,
 		AssumedSlots:     routing.Running,
 		FailureThreshold: routing.Failures,
@@ -62,5 +66,13 @@
 	i.spreader.Subscribe(func(*configurator.Snapshot) { i.server.AbortWithdrawn() })
 }
 
+// wirePacer creates the pacer, which keeps to the request rates that upstreams state.
+func (i *Instance) wirePacer() {
+	i.pacer = pacer.New(pacer.Config{
+		Now: i.now,
+		Log: i.log,
+	})
+}
+
 // dispatchWaiting makes waiting requests of all models try again after an upstream has gained capacity.
 func (i *Instance) dispatchWaiting() { i.queuer.Dispatch("") }
--- a/internal/forwarder/answermetadata.go
+++ b/internal/forwarder/answermetadata.go
@@ -15,4 +15,8 @@
 	Busy int
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
+	// RateLimited is set if the answer states RateLimit.
+	RateLimited bool
+	// RateLimit is the number of requests per second that the upstream takes from all instances together.
+	RateLimit float64
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -9,7 +9,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/pacer"
+	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
@@ -32,6 +35,10 @@
 	writesBefore uint64
 	// reused is set if the connection served other requests before.
 	reused bool
+	// repeated is set if the request was sent to an upstream before.
+	repeated bool
+	// answer is the metadata in the header of the answer.
+	answer AnswerMetadata
 }
 
 // newAttempt returns an attempt with a random suffix to the request's identity.
@@ -43,9 +50,9 @@
 	}
 }
 
-// send sends the request of an attempt once. The transport cannot resend it, as its body cannot be
-// rewound.
-func (f *Forwarder) send(ctx context.Context, a *attempt, m *outgoingRequest) (*http.Response, error) {
+// send sends the request of an attempt to the chosen upstream once, and records what the answer states about
+// the upstream. The transport cannot resend the request, as its body cannot be rewound.
+func (f *Forwarder) send(ctx context.Context, choice *router.Choice, a *attempt, m *outgoingRequest) (*http.Response, error) {
 	target := &url.URL{
 		Scheme:   "http",
 		Host:     m.address.String(),
@@ -81,7 +88,31 @@
 	if f.config.AllowResend {
 		allowResend(request, m.body)
 	}
-	return f.transport.RoundTrip(request)
+	sent := f.config.Now()
+	choice.CountSent(a.repeated)
+	response, err := f.transport.RoundTrip(request)
+	if err == nil {
+		f.observe(choice, a, sent, response)
+	}
+	return response, err
+}
+
+// observe records the load and the limit that an answer states. An answer without a limit counts only if it
+// is a success for this request: others may come from a part of the upstream that knows of no limits.
+func (f *Forwarder) observe(choice *router.Choice, a *attempt, sent time.Time, response *http.Response) {
+	a.answer = f.config.Dialect.ReadAnswer(response.Header)
+	if a.answer.HasLoad {
+		choice.Observe(a.answer.Busy, a.answer.Slots)
+	}
+	succeeded := response.StatusCode < http.StatusMultipleChoices && a.answer.Receipt
+	own := a.answer.RequestID == "" || a.answer.RequestID == a.id
+	if a.answer.RateLimited || succeeded && own {
+		choice.ObserveLimit(pacer.Statement{
+			Limited: a.answer.RateLimited,
+			Rate:    a.answer.RateLimit,
+			Sent:    sent,
+		})
+	}
 }
 
 // allowResend gives the transport a body that it can rewind to resend a request on its own.
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -79,12 +79,13 @@
 // call makes one attempt of a call.
 func (f *Forwarder) call(ctx context.Context, c *Call, choice *router.Choice, result *Result) *failure {
 	a := newAttempt(c.Request)
+	a.repeated = result.Attempts > 1
 	header := c.Header.Clone()
 	header.Set(headerRequest, a.id)
 	if c.Team != "" {
 		header.Set(headerTeam, c.Team)
 	}
-	response, err := f.send(ctx, a, &outgoingRequest{
+	response, err := f.send(ctx, choice, a, &outgoingRequest{
 		method:  c.Method,
 		address: choice.Address,
 		path:    c.Path,
--- a/internal/forwarder/completion.go
+++ b/internal/forwarder/completion.go
@@ -91,9 +91,10 @@
 // request at the engine.
 func (f *Forwarder) complete(ctx context.Context, c *Completion, choice *router.Choice, result *Result) *failure {
 	a := newAttempt(c.Request)
+	a.repeated = result.Attempts > 1
 	ctx, timer := f.newFirstTokenTimer(ctx, c, result)
 	defer timer.release()
-	response, err := f.send(ctx, a, &outgoingRequest{
+	response, err := f.send(ctx, choice, a, &outgoingRequest{
 		method:  http.MethodPost,
 		address: choice.Address,
 		path:    c.Path,
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 )
@@ -23,6 +24,10 @@
 	headerLastEvent = "Last-Event-Id"
 )
 
+// headerRateLimit is the header field with which an upstream states, in requests per second, what it takes
+// from all instances together.
+const headerRateLimit = "X-Rate-Limit"
+
 // OwnDialect returns the product's own dialect. It has no receipts: every answer counts as one with a
 // receipt.
 func OwnDialect() Dialect {
@@ -50,9 +55,20 @@
 
 // readOwn decodes the metadata of an answer in the product's own dialect.
 func readOwn(header http.Header) AnswerMetadata {
-	return AnswerMetadata{
+	metadata := AnswerMetadata{
 		RequestID: header.Get(headerRequest),
 		NotRun:    header.Get(headerNotRun) == "true",
 		Receipt:   true,
 	}
+	metadata.RateLimit, metadata.RateLimited = ParseRate(header.Get(headerRateLimit))
+	return metadata
+}
+
+// ParseRate decodes a rate, a decimal number that is not negative. It reports false for any other text.
+func ParseRate(text string) (float64, bool) {
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+		return 0, false
+	}
+	return rate, true
 }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -196,9 +196,10 @@
 // resume requests the rest of the stream from the engine.
 func (r *relay) resume(ctx context.Context) (*http.Response, error) {
 	resumed := &attempt{
-		id: r.attempt.id,
+		id:       r.attempt.id,
+		repeated: true,
 	}
-	response, err := r.forwarder.send(ctx, resumed, &outgoingRequest{
+	response, err := r.forwarder.send(ctx, r.choice, resumed, &outgoingRequest{
 		method:  http.MethodGet,
 		address: r.choice.Address,
 		path:    "/v1/requests/" + r.attempt.id + "/resume",
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -161,11 +161,12 @@
 	}).Info("request.attempt")
 }
 
-// attempt makes one attempt and records the load that the upstream reports.
+// attempt makes one attempt.
 func (r *routing) attempt(ctx context.Context, choice *router.Choice) *failure {
 	f, c := r.forwarder, r.routed
 	a := &attempt{
-		id: c.Identity,
+		id:       c.Identity,
+		repeated: r.result.Attempts > 1,
 	}
 	r.result.Status = 0
 	header := c.Header.Clone()
@@ -175,7 +176,7 @@
 		metadata.TimeLeft = deadline.Sub(f.config.Now())
 	}
 	f.config.Dialect.WriteRequest(header, metadata)
-	response, err := f.send(ctx, a, &outgoingRequest{
+	response, err := f.send(ctx, choice, a, &outgoingRequest{
 		method:  c.Method,
 		address: choice.Address,
 		target:  c.Target,
@@ -191,11 +192,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	r.result.Status = response.StatusCode
-	answer := f.config.Dialect.ReadAnswer(response.Header)
-	if answer.HasLoad {
-		choice.Observe(answer.Busy, answer.Slots)
-	}
-	failed := r.handleAnswer(ctx, answer, response)
+	failed := r.handleAnswer(ctx, a.answer, response)
 	if failed != nil {
 		failed.reused = a.reused
 	}
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"sync/atomic"
+
+	"github.com/buckthorngap/buckthorngap/internal/pacer"
 )
 
 // Choice is a slot that a request holds on an upstream, from Pick until Done.
@@ -35,6 +37,16 @@
 	c.target.observe(c.router.config.Now(), busy, slots)
 }
 
+// CountSent counts a request that is sent to the upstream; repeated is set for a retry.
+func (c *Choice) CountSent(repeated bool) {
+	c.router.config.CountSent(c.target.paced(), repeated)
+}
+
+// ObserveLimit records what an answer states about the rate of requests that the upstream takes.
+func (c *Choice) ObserveLimit(statement pacer.Statement) {
+	c.router.config.ObserveLimit(c.target.paced(), statement)
+}
+
 // Done releases the slot and records the result of the attempt. Further calls do
 // nothing.
 func (c *Choice) Done(result Result) {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
@@ -23,6 +24,11 @@
 	Upstreams func() []storer.Instance
 	// Report returns the latest load report of an upstream and when it was received.
 	Report func(upstream string) (reporter.Report, time.Time, bool)
+	// ObserveLimit records what an answer of an upstream states about the rate of requests that it takes;
+	// nil means that limits are ignored.
+	ObserveLimit func(upstream pacer.Upstream, statement pacer.Statement)
+	// CountSent counts a request that is sent to an upstream; repeated is set for a retry. May be nil.
+	CountSent func(upstream pacer.Upstream, repeated bool)
 	// Changed is called when waiting requests may find a free slot. It must not
 	// block; may be nil.
 	Changed func()
@@ -68,6 +74,12 @@
 	if c.Changed == nil {
 		c.Changed = func() {}
 	}
+	if c.ObserveLimit == nil {
+		c.ObserveLimit = func(pacer.Upstream, pacer.Statement) {}
+	}
+	if c.CountSent == nil {
+		c.CountSent = func(pacer.Upstream, bool) {}
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
@@ -23,6 +24,8 @@
 	service atomic.Pointer[string]
 	// engine is set if the upstream runs models.
 	engine atomic.Bool
+	// domain is the upstream's failure domain.
+	domain atomic.Pointer[string]
 	// sameDomain is set if the upstream is in this instance's failure domain.
 	sameDomain atomic.Bool
 	// cache models the engine's prompt cache.
@@ -64,13 +67,24 @@
 		cache:    newPromptCache(),
 	}
 	u.snapshot.Store(&snapshot{})
+	u.domain.Store(new(string))
 	return u
 }
 
+// paced identifies the upstream's current start to the pacer.
+func (u *upstream) paced() pacer.Upstream {
+	return pacer.Upstream{
+		Name:   u.name,
+		Start:  u.snapshot.Load().start,
+		Domain: *u.domain.Load(),
+	}
+}
+
 // applyListing applies the upstream's entry in the platform's list.
 func (u *upstream) applyListing(row storer.Instance, domain string) {
 	u.service.Store(&row.Service)
 	u.engine.Store(row.Role == storer.RoleEngine)
+	u.domain.Store(&row.Domain)
 	u.sameDomain.Store(row.Domain == domain)
 	u.mu.Lock()
 	defer u.mu.Unlock()
