Keep all instances together to the limit that an upstream states

Cause: no instance read the field. Ruled out: a limit kept by each instance on its own (none sent as few as its limit) and repeats (none counted).

The holder of a limit duty of the upstream's failure domain grants permits, one request each, spaced by the stated rate; unused capacity is kept for half a second. Instances ask when a request wants the upstream and have no permit; the answer is here within milliseconds, and the request waits for it. Without a permit it goes to another upstream; if all are limited, it waits only if there is room before its deadline, else it is refused at once as not run with the time to come back. A permit lasts 200 ms, so that nothing is saved up. While the holder does not answer, all instances together use a third of the limit, at random times. What an instance knows of a limit travels with heartbeats and with each request for permits; an answer without a limit ends it only if its request was sent after the last statement.

All ways to an upstream take a permit in Router.acquire or Choice.AwaitPermit: first attempts, retries, requests sent again after an adapter was loaded, probes of open circuits, calls of plain services and resumed streams.

--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -76,7 +76,9 @@
 
 // pick tries to assign a waiting request to an engine.
 func (i *Instance) pick(ticket *queuer.Ticket) (any, bool) {
-	return i.router.Pick(ticket.Value.(router.Need))
+	need := ticket.Value.(router.Need)
+	need.Waits = true
+	return i.router.Pick(need)
 }
 
 // loaded reports whether some engine has a ready copy of the checkpoint that a request needs.
--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -108,16 +108,21 @@
 		return nil, err
 	}
 	f.wireMembership(tracker.Config{
-		List:             f.listInstances,
-		Attachment:       func() []byte { return f.stager.Attachment() },
-		HandleAttachment: func(from messenger.Peer, attachment []byte) { f.stager.HandleAttachment(from, attachment) },
+		List: f.listInstances,
+		Attachments: []tracker.Attachment{
+			{
+				Read:   func() []byte { return f.stager.Attachment() },
+				Handle: func(from messenger.Peer, attachment []byte) { f.stager.HandleAttachment(from, attachment) },
+			},
+			f.limitAttachment(),
+		},
 	})
 	f.wireDuties(append(limiter.Duties(settings.Duties.Limits), stager.Duties(settings.Duties.Placements)...), f.listedInDomain)
 	f.wireAdmission()
 	f.wireFrontRequests()
 	f.wireStager()
 	f.wireProbes()
-	f.registerHandlers(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers(), f.relayer.Handlers())
+	f.registerHandlers(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers(), f.relayer.Handlers(), f.pacer.Handlers())
 	enlisted, err := enlister.New(enlister.Config{
 		Name:    settings.Name,
 		Domain:  settings.Domain,
@@ -144,6 +149,9 @@
 		EngineTokens:     f.engineTokens,
 		Upstreams:        f.upstreams.Upstreams,
 		Report:           f.upstreams.Report,
+		Admit:            f.pacer.Admit,
+		LimitState:       f.pacer.State,
+		RetryTime:        f.pacer.RetryTime,
 		ObserveLimit:     f.pacer.Observe,
 		CountSent:        f.pacer.CountSent,
 		Changed:          f.dispatchWaiting,
@@ -171,6 +179,9 @@
 		Place:           f.router.Pick,
 		CountCandidates: f.router.CountCandidates,
 		CooldownEnd:     f.router.CooldownEnd,
+		LimitEnd:        f.router.LimitEnd,
+		RetryTime:       f.router.RetryTime,
+		Waiting:         f.queuer.Waiting,
 		Reacquire:       f.router.PickUpstream,
 		SetLoaded:       f.router.SetLoaded,
 		CountReady:      f.router.CountReady,
@@ -300,6 +311,7 @@
 		f.holder.Run,
 		withoutError(f.limiter.Run),
 		withoutError(f.stager.Run),
+		withoutError(f.pacer.Run),
 		withoutError(f.queuer.Run),
 		withoutError(f.forwarder.Run),
 		withoutError(f.refreshRouter),
--- a/internal/app/operators.go
+++ b/internal/app/operators.go
@@ -118,6 +118,7 @@
 func (i *Instance) registerAllHandlers() {
 	i.registerHandlers(
 		i.tracker.Handlers(),
+		i.pacer.Handlers(),
 		i.spreader.Handlers(),
 		i.holder.Handlers(),
 		i.limiter.Handlers(),
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
+	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/internal/router"
@@ -28,6 +29,9 @@
 		Domain:           i.settings.Domain,
 		Upstreams:        i.tracker.Upstreams,
 		Report:           i.reporter.Report,
+		Admit:            i.pacer.Admit,
+		LimitState:       i.pacer.State,
+		RetryTime:        i.pacer.RetryTime,
 		ObserveLimit:     i.pacer.Observe,
 		CountSent:        i.pacer.CountSent,
 		Changed:          i.dispatchWaiting,
@@ -51,7 +55,10 @@
 		Enter:              i.queuer.Enter,
 		AddDemand:          i.addDemand,
 		Claim:              i.claimer.Claim,
-		PickService:        i.router.PickService,
+		AwaitService:       i.router.AwaitService,
+		LimitEnd:           i.router.LimitEnd,
+		RetryTime:          i.router.RetryTime,
+		Waiting:            i.queuer.Waiting,
 		Forwarder:          i.forwarder,
 		MaxBodyBytes:       callers.Body,
 		MaxHeaderBytes:     callers.Headers,
@@ -69,10 +76,26 @@
 // wirePacer creates the pacer, which keeps to the request rates that upstreams state.
 func (i *Instance) wirePacer() {
 	i.pacer = pacer.New(pacer.Config{
-		Now: i.now,
-		Log: i.log,
+		Self:        i.self,
+		Duties:      limiter.Duties(i.settings.Duties.Limits),
+		Term:        i.term,
+		Owner:       i.owner,
+		LiveMembers: i.tracker.Alive,
+		Call:        i.messenger.Call,
+		Instances:   func() int { return 1 + i.tracker.Count() },
+		Listed:      func(upstream pacer.Upstream) bool { return i.router.Lists(upstream) },
+		Changed:     i.applyLimits,
+		Now:         i.now,
+		Log:         i.log,
 	})
 }
 
+// applyLimits lets waiting requests try again after the limits of upstreams or the permits have changed, and refuses
+// those that would wait in vain.
+func (i *Instance) applyLimits() {
+	i.dispatchWaiting()
+	i.queuer.RefuseWaiting(i.server.RefuseLimited)
+}
+
 // dispatchWaiting makes waiting requests of all models try again after an upstream has gained capacity.
 func (i *Instance) dispatchWaiting() { i.queuer.Dispatch("") }
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -69,6 +69,7 @@
 		withoutError(i.queuer.Run),
 		withoutError(i.claimer.Run),
 		withoutError(i.reporter.Run),
+		withoutError(i.pacer.Run),
 		withoutError(i.forwarder.Run),
 		withoutError(i.refreshRouter),
 		withoutError(i.placer.Run),
--- a/internal/app/state.go
+++ b/internal/app/state.go
@@ -18,9 +18,14 @@
 		return err
 	}
 	i.wireMembership(tracker.Config{
-		List:             i.store.Instances,
-		Attachment:       func() []byte { return i.spreader.Digest() },
-		HandleAttachment: func(from messenger.Peer, digest []byte) { i.spreader.Compare(from, digest) },
+		List: i.store.Instances,
+		Attachments: []tracker.Attachment{
+			{
+				Read:   func() []byte { return i.spreader.Digest() },
+				Handle: func(from messenger.Peer, digest []byte) { i.spreader.Compare(from, digest) },
+			},
+			i.limitAttachment(),
+		},
 	})
 	i.spreader = spreader.New(spreader.Config{
 		Store:   i.store,
@@ -46,6 +51,14 @@
 	return err
 }
 
+// limitAttachment is the attachment of heartbeats with the limits that upstreams state.
+func (i *Instance) limitAttachment() tracker.Attachment {
+	return tracker.Attachment{
+		Read:   func() []byte { return i.pacer.Attachment() },
+		Handle: func(from messenger.Peer, attachment []byte) { i.pacer.HandleAttachment(from, attachment) },
+	}
+}
+
 // wireMembership creates the guard and the tracker. The given config has the source of the instance
 // list and the digest that heartbeats carry.
 func (i *Instance) wireMembership(config tracker.Config) {
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -88,3 +88,12 @@
 func (e *EventTooLarge) Error() string {
 	return "event is larger than " + strconv.Itoa(e.Bytes) + " bytes"
 }
+
+// LimitReached reports that the limit which an upstream states leaves no room for a request.
+type LimitReached struct {
+	// Upstream is the upstream's name.
+	Upstream string
+}
+
+// Error implements error.
+func (e *LimitReached) Error() string { return "limit of upstream " + e.Upstream + " is reached" }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -199,6 +199,11 @@
 		id:       r.attempt.id,
 		repeated: true,
 	}
+	if !r.choice.AwaitPermit(ctx) {
+		return nil, &LimitReached{
+			Upstream: r.choice.Upstream,
+		}
+	}
 	response, err := r.forwarder.send(ctx, r.choice, resumed, &outgoingRequest{
 		method:  http.MethodGet,
 		address: r.choice.Address,
--- a/internal/pacer/dump.go
+++ b/internal/pacer/dump.go
@@ -14,12 +14,20 @@
 	Limited bool `json:"limited"`
 	// Rate is the stated limit, in requests per second.
 	Rate float64 `json:"rate"`
-	// Stated is when an answer last stated it.
+	// Stated is when an answer last stated it, or when the request was sent whose answer stated none.
 	Stated time.Time `json:"stated"`
+	// Own is when this instance itself last got an answer that stated it.
+	Own time.Time `json:"own"`
 	// First is the number of first attempts that this instance has sent there while it knew of the limit.
 	First uint64 `json:"first"`
 	// Repeated is the number of retries among what it has sent there.
 	Repeated uint64 `json:"repeated"`
+	// Denied is the number of times that the limit left no room for a request.
+	Denied uint64 `json:"denied"`
+	// Alone is the number of requests admitted while the holder of the upstream's duty did not answer.
+	Alone uint64 `json:"alone"`
+	// Silent is set while the holder does not answer.
+	Silent bool `json:"silent"`
 }
 
 // Dump returns the limits for operators: rows sorted by upstream.
@@ -38,10 +46,14 @@
 	defer g.mu.Unlock()
 	return Row{
 		Upstream: g.upstream.Name,
-		Limited:  g.limited,
-		Rate:     g.rate,
-		Stated:   g.statedAt,
-		First:    g.first,
-		Repeated: g.repeated,
+		Limited:  g.limit.limited,
+		Rate:     g.limit.rate,
+		Stated:   g.limit.at,
+		Own:      g.ownAt,
+		First:    g.counts.first,
+		Repeated: g.counts.repeated,
+		Denied:   g.counts.denied,
+		Alone:    g.counts.fallback,
+		Silent:   g.fallback != nil,
 	}
 }
--- /dev/null
+++ b/internal/pacer/errors.go
@@ -0,0 +1,13 @@
+package pacer
+
+// Malformed reports a message that cannot be decoded.
+type Malformed struct {
+	// Cause is the decoder's error.
+	Cause error
+}
+
+// Error implements error.
+func (e *Malformed) Error() string { return "malformed message about a limit: " + e.Cause.Error() }
+
+// Unwrap returns the decoder's error.
+func (e *Malformed) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/pacer/limit.go
@@ -0,0 +1,67 @@
+package pacer
+
+import (
+	"time"
+
+	"github.com/buckthorngap/buckthorngap/internal/pacer/pacerpb"
+)
+
+const (
+	// minRate is the lowest rate at which requests are sent, in requests per second. Only an answer shows that
+	// a limit of zero has ended.
+	minRate = 0.05
+	// relayTolerance is the error of the age of knowledge that peers have passed on.
+	relayTolerance = 50 * time.Millisecond
+	// foreignEndDelay is how much later than the last answer with a limit that this instance got itself a peer
+	// must have got one without, for the limit to end here as well.
+	foreignEndDelay = 2 * time.Second
+)
+
+// limit is what is known of the limit of an upstream.
+type limit struct {
+	// limited is set while the upstream states a limit, and rate is that limit in requests per second.
+	limited bool
+	rate    float64
+	// at is when the answer that stated the limit arrived, or when the request was sent whose answer stated none.
+	at time.Time
+}
+
+// supersedes reports whether knowledge that a peer has passed on replaces what is known here. Of two limits stated at
+// about the same time, the lower one holds.
+func (l limit) supersedes(known limit) bool {
+	if l.at.After(known.at.Add(relayTolerance)) {
+		return true
+	}
+	return l.limited && l.at.After(known.at.Add(-relayTolerance)) && (!known.limited || l.rate < known.rate)
+}
+
+// interval returns the time between two requests at the rate of the limit.
+func (l limit) interval() time.Duration {
+	return time.Duration(float64(time.Second) / max(l.rate, minRate))
+}
+
+// encode returns the wire form of the limit.
+func (l limit) encode(upstream Upstream, now time.Time) *pacerpb.Limit {
+	return &pacerpb.Limit{
+		Upstream: upstream.Name,
+		Start:    upstream.Start,
+		Domain:   upstream.Domain,
+		Ended:    !l.limited,
+		Rate:     l.rate,
+		Age:      int64(max(0, now.Sub(l.at))),
+	}
+}
+
+// decodeLimit returns the upstream and the limit of a message.
+func decodeLimit(message *pacerpb.Limit, now time.Time) (Upstream, limit) {
+	upstream := Upstream{
+		Name:   message.GetUpstream(),
+		Start:  message.GetStart(),
+		Domain: message.GetDomain(),
+	}
+	return upstream, limit{
+		limited: !message.GetEnded(),
+		rate:    max(0, message.GetRate()),
+		at:      now.Add(-time.Duration(max(0, message.GetAge()))),
+	}
+}
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -1,35 +1,136 @@
 package pacer
 
 import (
+	"context"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorngap/buckthorngap/internal/delegator"
+	"github.com/buckthorngap/buckthorngap/internal/holder"
+	"github.com/buckthorngap/buckthorngap/internal/pacer/pacerpb"
+)
+
+const (
+	// limitTTL is how long knowledge about a limit is passed on to peers, and kept about upstreams that are no longer
+	// listed.
+	limitTTL = time.Minute
+	// expiryInterval is the time between two searches for limits to forget.
+	expiryInterval = 10 * time.Second
 )
 
-// Pacer knows the limits that upstreams state.
+// Pacer keeps this instance's requests within the limits that upstreams state. The holder of an upstream's duty grants
+// the permits for the requests of all instances.
 type Pacer struct {
-	config  Config
-	metrics pacerMetrics
+	config    Config
+	delegator *delegator.Delegator
+	metrics   pacerMetrics
 	// known is the number of gates, readable without the lock.
 	known atomic.Int64
+	// done is a context that is cancelled by end when Run returns.
+	done context.Context
+	end  context.CancelFunc
 
 	mu    sync.RWMutex
 	gates map[Upstream]*gate
+
+	// granting guards the fields below, which this instance uses as the holder of duties.
+	granting  sync.Mutex
+	schedules map[Upstream]*schedule
+	// terms holds the last noticed term of each duty, by its index.
+	terms map[int]noticedTerm
+}
+
+// noticedTerm is a term of a duty with the time when this instance first granted permits in it.
+type noticedTerm struct {
+	epoch uint64
+	at    time.Time
 }
 
 // New returns a Pacer that knows no limits.
 func New(config Config) *Pacer {
+	config = config.withDefaults()
+	done, end := context.WithCancel(context.Background())
 	return &Pacer{
-		config:  config.withDefaults(),
-		metrics: newPacerMetrics(),
-		gates:   map[Upstream]*gate{},
+		config: config,
+		delegator: delegator.New(delegator.Config{
+			Self:        config.Self,
+			Topic:       Topic,
+			Term:        config.Term,
+			Owner:       config.Owner,
+			LiveMembers: config.LiveMembers,
+			Call:        config.Call,
+		}),
+		metrics:   newPacerMetrics(),
+		done:      done,
+		end:       end,
+		gates:     map[Upstream]*gate{},
+		schedules: map[Upstream]*schedule{},
+		terms:     map[int]noticedTerm{},
+	}
+}
+
+// Run forgets the limits of upstreams that are gone, until the context ends.
+func (p *Pacer) Run(ctx context.Context) {
+	defer p.end()
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.expire()
+		}
+	}
+}
+
+// Admit uses a permit for a request to an upstream. If there is none, it asks for one.
+func (p *Pacer) Admit(upstream Upstream) Admission {
+	g := p.gate(upstream)
+	if g == nil {
+		return Admitted
+	}
+	admission, asks := g.admit(p.config.Now())
+	if admission == Denied {
+		p.metrics.denied.Inc()
+	}
+	if asks {
+		a := &ask{
+			pacer: p,
+			gate:  g,
+		}
+		go a.run(p.done)
+	}
+	return admission
+}
+
+// State returns what the limit of an upstream means for this instance's requests.
+func (p *Pacer) State(upstream Upstream) State {
+	g := p.gate(upstream)
+	if g == nil {
+		return State{}
+	}
+	return g.state(p.config.Now())
+}
+
+// RetryTime returns when a caller that is refused because of an upstream's limit should come back. Callers that
+// are refused one after the other get different times from the given one on.
+func (p *Pacer) RetryTime(upstream Upstream, earliest time.Time) time.Time {
+	g := p.gate(upstream)
+	if g == nil {
+		return earliest
 	}
+	return g.retryTime(earliest)
 }
 
-// Observe records what an answer of an upstream states.
+// Observe records what an answer of an upstream to this instance states. A changed limit is reported to the holder of
+// the upstream's duty at once.
 func (p *Pacer) Observe(upstream Upstream, statement Statement) {
 	g := p.gate(upstream)
 	if g == nil {
@@ -41,11 +142,40 @@
 	if !g.observe(p.config.Now(), statement) {
 		return
 	}
+	p.logChange(g)
+	r := &report{
+		pacer: p,
+		gate:  g,
+	}
+	go r.run(p.done)
+	p.config.Changed()
+}
+
+// learn applies what a peer knows of a limit.
+func (p *Pacer) learn(message *pacerpb.Limit) {
+	upstream, l := decodeLimit(message, p.config.Now())
+	g := p.gate(upstream)
+	if g == nil {
+		if !l.limited || upstream.Name == "" {
+			return
+		}
+		g = p.addGate(upstream)
+	}
+	if g.learn(l) {
+		p.logChange(g)
+		p.config.Changed()
+	}
+}
+
+// logChange counts and logs a changed limit.
+func (p *Pacer) logChange(g *gate) {
+	_, known := g.request()
 	p.metrics.statements.Inc()
 	p.config.Log.WithFields(logrus.Fields{
-		"upstream": upstream.Name,
-		"limited":  statement.Limited,
-		"rate":     statement.Rate,
+		"upstream": g.upstream.Name,
+		"limited":  known.limited,
+		"rate":     known.rate,
+		"age":      p.config.Now().Sub(known.at).Round(time.Millisecond),
 	}).Info("upstream.limit")
 }
 
@@ -62,6 +192,51 @@
 	p.metrics.first.Inc()
 }
 
+// grant grants permits under a term, after checking that the term has not ended.
+func (p *Pacer) grant(term holder.Fence, upstream Upstream, known limit, count int) (int, time.Duration, error) {
+	p.granting.Lock()
+	defer p.granting.Unlock()
+	now := p.config.Now()
+	s := p.schedule(term.Epoch, upstream, now)
+	if err := term.Check(); err != nil {
+		return 0, 0, err
+	}
+	granted, wait := s.take(now, known, count)
+	p.metrics.granted.Add(granted)
+	return granted, wait, nil
+}
+
+// schedule returns the schedule of an upstream in a term. In a new term, the first permit is due once those of the
+// previous holder have expired. The caller holds the lock.
+func (p *Pacer) schedule(epoch uint64, upstream Upstream, now time.Time) *schedule {
+	number := p.dutyNumber(upstream)
+	noticed := p.terms[number]
+	if noticed.epoch != epoch {
+		noticed = noticedTerm{
+			epoch: epoch,
+			at:    now,
+		}
+		p.terms[number] = noticed
+	}
+	s := p.schedules[upstream]
+	if s == nil || s.epoch != epoch {
+		first := noticed.at.Add(permitTTL)
+		if first.Before(now) {
+			first = now
+		}
+		s = newSchedule(epoch, first)
+		p.schedules[upstream] = s
+	}
+	return s
+}
+
+// dutyNumber returns the index of the duty that an upstream belongs to.
+func (p *Pacer) dutyNumber(upstream Upstream) int {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(upstream.Name))
+	return int(hash.Sum32() % uint32(len(p.config.Duties)))
+}
+
 // gate returns the gate of an upstream, or nil if it has never stated a limit.
 func (p *Pacer) gate(upstream Upstream) *gate {
 	if p.known.Load() == 0 {
@@ -93,3 +268,25 @@
 	defer p.mu.RUnlock()
 	return slices.Collect(maps.Values(p.gates))
 }
+
+// expire forgets limits that ended long ago, and those of upstreams that are no longer listed.
+func (p *Pacer) expire() {
+	now := p.config.Now()
+	var gone []Upstream
+	for _, g := range p.list() {
+		_, known := g.request()
+		if now.Sub(known.at) > limitTTL && (!known.limited || !p.config.Listed(g.upstream)) {
+			gone = append(gone, g.upstream)
+		}
+	}
+	p.mu.Lock()
+	for _, upstream := range gone {
+		delete(p.gates, upstream)
+	}
+	kept := maps.Clone(p.gates)
+	p.known.Store(int64(len(kept)))
+	p.mu.Unlock()
+	p.granting.Lock()
+	defer p.granting.Unlock()
+	maps.DeleteFunc(p.schedules, func(upstream Upstream, _ *schedule) bool { return kept[upstream] == nil })
+}
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -1,51 +1,370 @@
 package pacer
 
 import (
+	"context"
+	"math/rand/v2"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/buckthorngap/buckthorngap/internal/holder"
+	"github.com/buckthorngap/buckthorngap/internal/messenger"
+	"github.com/buckthorngap/buckthorngap/internal/tracker"
 )
 
+// testDuty is the only duty of the test site.
+const testDuty = "limits/0"
+
+// testDelay is the time that a message takes one way.
+const testDelay = 2 * time.Millisecond
+
+// testSite is a number of pacers of one failure domain before upstreams whose limits the test sets.
+type testSite struct {
+	pacers []*Pacer
+	// arrivals are the times at which requests reached each upstream.
+	arrivals map[string][]time.Time
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// owner is the number of the holder of testDuty; negative means that there is none.
+	owner  int
+	epoch  uint64
+	random *rand.Rand
+	// cut lists the pacers that no message reaches.
+	cut map[int]bool
+}
+
+// silent reports a message that is not answered.
+type silent struct{}
+
+func (silent) Error() string { return "no answer" }
+
+func newTestSite(t *testing.T, instances int) *testSite {
+	t.Helper()
+	s := &testSite{
+		epoch:    1,
+		random:   rand.New(rand.NewPCG(1, 1)),
+		cut:      map[int]bool{},
+		arrivals: map[string][]time.Time{},
+	}
+	names := map[string]int{}
+	for number := range instances {
+		name := string(rune('a'+number/26)) + string(rune('a'+number%26))
+		names[name] = number
+		s.pacers = append(s.pacers, New(Config{
+			Self: messenger.Sender{
+				Name:   name,
+				Domain: "d",
+			},
+			Duties: []string{testDuty},
+			Term: func(string) (holder.Fence, bool) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return holder.Fence{
+					Epoch: s.epoch,
+					Check: func() error { return nil },
+				}, s.owner == number
+			},
+			Owner: func(string) (messenger.Peer, uint64, bool) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if s.owner < 0 {
+					return messenger.Peer{}, 0, false
+				}
+				return messenger.Peer{
+					Name: s.pacers[s.owner].config.Self.Name,
+				}, s.epoch, true
+			},
+			LiveMembers: func(string) []tracker.Member { return nil },
+			Call: func(ctx context.Context, to messenger.Peer, _ string, payload []byte) ([]byte, error) {
+				time.Sleep(testDelay)
+				if s.isCut(number) || s.isCut(names[to.Name]) {
+					<-ctx.Done()
+					return nil, silent{}
+				}
+				answer, err := s.pacers[names[to.Name]].handleAsk(ctx, messenger.Sender{}, payload)
+				time.Sleep(testDelay)
+				return answer, err
+			},
+			Instances: func() int { return instances },
+			Random: func() float64 {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.random.Float64()
+			},
+		}))
+	}
+	t.Cleanup(func() {
+		for _, p := range s.pacers {
+			p.end()
+		}
+		time.Sleep(time.Second) // the messages under way end
+	})
+	return s
+}
+
+// setHolder changes the holder of testDuty, for a new term.
+func (s *testSite) setHolder(number int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owner = number
+	s.epoch++
+}
+
+// setCut cuts a pacer off from all others, or connects it again.
+func (s *testSite) setCut(number int, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[number] = cut
+}
+
+func (s *testSite) isCut(number int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut[number]
+}
+
+// upstream returns an upstream of the site.
+func upstream(name string) Upstream {
+	return Upstream{
+		Name:   name,
+		Domain: "d",
+	}
+}
+
+// send tries to send a request through an instance, and has it observe the answer, which states the rate unless that
+// is negative. It reports whether the request was admitted.
+func (s *testSite) send(number int, name string, rate float64) bool {
+	p := s.pacers[number]
+	if p.Admit(upstream(name)) != Admitted {
+		return false
+	}
+	sent := time.Now()
+	s.arrivals[name] = append(s.arrivals[name], sent)
+	p.Observe(upstream(name), Statement{
+		Limited: rate >= 0,
+		Rate:    max(0, rate),
+		Sent:    sent,
+	})
+	return true
+}
+
+// press has the instances try to send requests every few milliseconds for a time.
+func (s *testSite) press(span time.Duration, name string, rate float64, instances ...int) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, number := range instances {
+			s.send(number, name, rate)
+		}
+	}
+}
+
+// most returns the largest number of requests that reached an upstream in a window of 4 s from a time on.
+func (s *testSite) most(name string, from time.Time) int {
+	most := 0
+	for first, at := range s.arrivals[name] {
+		count := 0
+		for _, other := range s.arrivals[name][first:] {
+			if other.Sub(at) < 4*time.Second {
+				count++
+			}
+		}
+		if !at.Before(from) {
+			most = max(most, count)
+		}
+	}
+	return most
+}
+
+// all returns the numbers of all instances.
+func (s *testSite) all() []int {
+	numbers := make([]int, len(s.pacers))
+	for number := range numbers {
+		numbers[number] = number
+	}
+	return numbers
+}
+
+// allowed is the platform's bound on the requests in 4 s.
+func allowed(rate float64) int { return int(1.5*4*rate) + 5 }
+
+// TestAllInstancesTogetherKeepToALimit plays limits from far below to far above one request a second and instance.
+func TestAllInstancesTogetherKeepToALimit(t *testing.T) {
+	for _, instances := range []int{1, 6, 295} {
+		for _, rate := range []float64{0, 0.1, 1, 1.1, 20, 100} {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newTestSite(t, instances)
+				s.press(300*time.Millisecond, "u", rate, s.all()...)
+				told := time.Now()
+				s.press(9*time.Second, "u", rate, s.all()...)
+				t.Logf("instances=%d rate=%v most=%d arrived=%d", instances, rate, s.most("u", told), len(s.arrivals["u"])-instances)
+				is.True(s.most("u", told) <= allowed(rate))
+				// The upstream gets what it takes, but for the permits that the last window has not used.
+				is.True(float64(len(s.arrivals["u"])-instances) >= 0.8*rate*9-2)
+			})
+		}
+	}
+}
+
+// TestOneInstanceWithAllDemandGetsTheWholeLimit guards against a division of the limit into equal shares.
+func TestOneInstanceWithAllDemandGetsTheWholeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t, 7)
+		s.press(100*time.Millisecond, "u", 10, s.all()...)
+		before := len(s.arrivals["u"])
+		s.press(10*time.Second, "u", 10, 3)
+		is.True(len(s.arrivals["u"])-before >= 90)
+	})
+}
+
+// TestLimitHoldsWhileItsHolderIsSilentOrReplaced plays holders that are cut off, vanish and are replaced.
+func TestLimitHoldsWhileItsHolderIsSilentOrReplaced(t *testing.T) {
+	for _, rate := range []float64{0.5, 1, 10, 50} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestSite(t, 7)
+			s.press(time.Second, "u", rate, s.all()...)
+			told := time.Now()
+			s.press(3*time.Second, "u", rate, s.all()...)
+			s.setCut(0, true) // it goes on granting to itself
+			s.press(5*time.Second, "u", rate, s.all()...)
+			s.setHolder(1)
+			s.press(5*time.Second, "u", rate, s.all()[1:]...)
+			s.setCut(0, false)
+			s.setHolder(-1)
+			alone := len(s.arrivals["u"])
+			s.press(30*time.Second, "u", rate, s.all()...)
+			t.Logf("rate=%v alone=%d most=%d", rate, len(s.arrivals["u"])-alone, s.most("u", told))
+			is.True(float64(len(s.arrivals["u"])-alone) >= 0.2*rate*30-1) // served without a holder
+			s.setHolder(2)
+			s.press(5*time.Second, "u", rate, s.all()...)
+			is.True(s.most("u", told) <= allowed(rate))
+		})
+	}
+}
+
+// TestLimitThatFallsHoldsAtOnce guards against permits of a former, higher limit.
+func TestLimitThatFallsHoldsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t, 7)
+		s.press(4*time.Second, "u", 100, s.all()...)
+		s.press(500*time.Millisecond, "u", 1, s.all()...)
+		told := time.Now()
+		s.press(8*time.Second, "u", 1, s.all()...)
+		is.True(s.most("u", told) <= allowed(1))
+	})
+}
+
+// TestLimitThatRisesOrEndsHoldsNothingBack checks that a raised limit is used, and that an ended one ends for
+// the instances that have not sent anything since.
+func TestLimitThatRisesOrEndsHoldsNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t, 3)
+		s.press(5*time.Second, "u", 0.1, s.all()...)
+		s.press(11*time.Second, "u", 50, s.all()...) // the first answer may be 10 s away
+		before := len(s.arrivals["u"])
+		s.press(2*time.Second, "u", 50, s.all()...)
+		is.True(len(s.arrivals["u"])-before >= 90)
+		s.press(4*time.Second, "u", -1, 0)
+		s.gossip()
+		is.Equal(s.pacers[2].Admit(upstream("u")), Admitted)
+		is.True(!s.pacers[2].State(upstream("u")).Limited)
+	})
+}
+
+// gossip passes the limits that each instance knows of to all others.
+func (s *testSite) gossip() {
+	for _, from := range s.pacers {
+		attachment := from.Attachment()
+		for _, to := range s.pacers {
+			if to != from && len(attachment) > 0 {
+				to.HandleAttachment(messenger.Peer{}, attachment)
+			}
+		}
+	}
+}
+
+// TestLimitKnownToOneInstanceSpreads checks that instances keep to a limit that only another one was told.
+func TestLimitKnownToOneInstanceSpreads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t, 20)
+		s.send(4, "u", 1)
+		s.gossip()
+		s.arrivals["u"] = nil
+		s.press(8*time.Second, "u", 1, s.all()...)
+		is.True(s.most("u", time.Time{}) <= allowed(1))
+		// A peer that gets answers without the limit does not end it for one that has just got it.
+		s.send(4, "v", 1)
+		time.Sleep(time.Second)
+		s.pacers[5].learn(limit{
+			limited: true,
+			rate:    1,
+			at:      time.Now().Add(-time.Minute),
+		}.encode(upstream("v"), time.Now()))
+		s.pacers[5].Observe(upstream("v"), Statement{
+			Sent: time.Now(),
+		})
+		s.gossip()
+		is.True(s.pacers[4].State(upstream("v")).Limited)
+	})
+}
+
 // TestLimitEndsWithAnAnswerToALaterRequest checks that an answer without a limit counts only if its request was sent
 // after the last answer that stated one: answers overtake each other.
 func TestLimitEndsWithAnAnswerToALaterRequest(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1000, 0)
-	p := New(Config{
-		Now: func() time.Time { return now },
-	})
-	upstream := Upstream{
-		Name: "a",
-	}
-	limited := func() bool { return p.Dump().([]Row)[0].Limited }
-	p.Observe(upstream, Statement{
-		Sent: now,
-	})
-	is.Equal(p.Dump(), []Row{}) // nothing is kept of upstreams without a limit
-	p.Observe(upstream, Statement{
-		Limited: true,
-		Rate:    2,
-		Sent:    now,
-	})
-	p.CountSent(upstream, false)
-	p.CountSent(upstream, true)
-	is.Equal(p.Dump(), []Row{
-		{
-			Upstream: "a",
-			Limited:  true,
-			Rate:     2,
-			Stated:   now,
-			First:    1,
-			Repeated: 1,
-		},
-	})
-	p.Observe(upstream, Statement{
-		Sent: now.Add(-time.Millisecond),
-	})
-	is.True(limited())
-	p.Observe(upstream, Statement{
-		Sent: now.Add(time.Millisecond),
-	})
-	is.True(!limited())
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newTestSite(t, 1).pacers[0]
+		limited := func() bool { return p.Dump().([]Row)[0].Limited }
+		p.Observe(upstream("u"), Statement{
+			Sent: time.Now(),
+		})
+		is.Equal(p.Dump(), []Row{}) // nothing is kept of upstreams without a limit
+		p.Observe(upstream("u"), Statement{
+			Limited: true,
+			Rate:    2,
+			Sent:    time.Now(),
+		})
+		p.CountSent(upstream("u"), false)
+		p.CountSent(upstream("u"), true)
+		is.Equal(p.Dump(), []Row{
+			{
+				Upstream: "u",
+				Limited:  true,
+				Rate:     2,
+				Stated:   time.Now(),
+				Own:      time.Now(),
+				First:    1,
+				Repeated: 1,
+			},
+		})
+		p.Observe(upstream("u"), Statement{
+			Sent: time.Now().Add(-time.Millisecond),
+		})
+		is.True(limited())
+		p.Observe(upstream("u"), Statement{
+			Sent: time.Now().Add(time.Millisecond),
+		})
+		is.True(!limited())
+	})
+}
+
+// TestRefusedCallersComeBackOneByOne checks that callers that are refused together are not told the same time.
+func TestRefusedCallersComeBackOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t, 1)
+		s.send(0, "u", 2)
+		earliest := time.Now().Add(time.Second)
+		for k := range 5 {
+			is.Equal(s.pacers[0].RetryTime(upstream("u"), earliest), earliest.Add(time.Duration(k)*500*time.Millisecond))
+		}
+	})
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -27,6 +27,15 @@
 	// ObserveLimit records what an answer of an upstream states about the rate of requests that it takes;
 	// nil means that limits are ignored.
 	ObserveLimit func(upstream pacer.Upstream, statement pacer.Statement)
+	// Admit takes a permit for a request to an upstream that has stated a limit; nil means that limits are
+	// ignored.
+	Admit func(upstream pacer.Upstream) pacer.Admission
+	// LimitState returns what the limit of an upstream means for this instance's requests; nil means that
+	// limits are ignored.
+	LimitState func(upstream pacer.Upstream) pacer.State
+	// RetryTime returns when a caller that is refused because of an upstream's limit should come back, at the
+	// given time or later; nil means at the given time.
+	RetryTime func(upstream pacer.Upstream, earliest time.Time) time.Time
 	// CountSent counts a request that is sent to an upstream; repeated is set for a retry. May be nil.
 	CountSent func(upstream pacer.Upstream, repeated bool)
 	// Changed is called when waiting requests may find a free slot. It must not
@@ -77,6 +86,15 @@
 	if c.ObserveLimit == nil {
 		c.ObserveLimit = func(pacer.Upstream, pacer.Statement) {}
 	}
+	if c.Admit == nil {
+		c.Admit = func(pacer.Upstream) pacer.Admission { return pacer.Admitted }
+	}
+	if c.LimitState == nil {
+		c.LimitState = func(pacer.Upstream) pacer.State { return pacer.State{} }
+	}
+	if c.RetryTime == nil {
+		c.RetryTime = func(_ pacer.Upstream, earliest time.Time) time.Time { return earliest }
+	}
 	if c.CountSent == nil {
 		c.CountSent = func(pacer.Upstream, bool) {}
 	}
--- a/internal/router/need.go
+++ b/internal/router/need.go
@@ -20,4 +20,10 @@
 	Tokens int64
 	// Exclude names upstreams that were tried already.
 	Exclude []string
+	// Waits is set if the request can wait for the permit of an upstream with a limit, rather than go to an
+	// upstream that suits it less.
+	Waits bool
+
+	// awaitsPermit is set once a permit has been asked for, so that no other upstream is chosen.
+	awaitsPermit bool
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -161,6 +162,14 @@
 	return r.acquire(u, &need)
 }
 
+// Lists reports whether a start of an upstream is the current one and the upstream is listed.
+func (r *Router) Lists(upstream pacer.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u := r.upstreams[upstream.Name]
+	return u != nil && u.paced() == upstream
+}
+
 // CountReady returns the number of upstreams with a ready copy of a checkpoint.
 func (r *Router) CountReady(checkpoint string) int { return len(r.index.Load().engines[checkpoint]) }
 
--- a/internal/router/weightedchoice.go
+++ b/internal/router/weightedchoice.go
@@ -1,6 +1,10 @@
 package router
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/buckthorngap/buckthorngap/internal/pacer"
+)
 
 // randomDraws is the number of random draws before drawTwo scans the candidates in order instead.
 const randomDraws = 4
@@ -99,13 +103,17 @@
 // usable reports whether an upstream can serve the request, is not excluded and
 // accepts requests now.
 func (r *Router) usable(u *upstream, need *Need) bool {
-	return u.canServe(need) && !slices.Contains(need.Exclude, u.name) && u.available(r.config.Now())
+	return !need.awaitsPermit && u.canServe(need) && !slices.Contains(need.Exclude, u.name) && u.available(r.config.Now())
 }
 
-// acquire takes a slot on an upstream, credits the retry budget, and updates the
+// acquire takes a slot on an upstream and a permit if it has a limit, credits the retry budget, and updates the
 // prefix hints and the model of the engine's prompt cache.
 func (r *Router) acquire(u *upstream, need *Need) (*Choice, bool) {
-	if slices.Contains(need.Exclude, u.name) {
+	if need.awaitsPermit || slices.Contains(need.Exclude, u.name) || !u.available(r.config.Now()) {
+		return nil, false
+	}
+	if admission := r.config.Admit(u.paced()); admission != pacer.Admitted {
+		need.awaitsPermit = need.Waits && admission == pacer.Pending
 		return nil, false
 	}
 	address, probe, ok := u.acquire(r.config.Now(), need.Tokens)
--- a/internal/server/enqueue.go
+++ b/internal/server/enqueue.go
@@ -22,11 +22,14 @@
 	if refusal := e.refuseIfNotReady(ctx); refusal != nil {
 		return nil, refusal
 	}
+	if refusal := s.refuseIfLimited(ticket); refusal != nil {
+		return nil, refusal
+	}
 	began := s.config.Now()
 	placement, err := s.config.Enter(ctx, ticket)
 	if err != nil {
 		e.logNotPlaced(began)
-		return nil, err
+		return nil, e.withLimitRetry(err)
 	}
 	choice, ok := placement.(*router.Choice)
 	if !ok {
--- a/internal/server/fixture_test.go
+++ b/internal/server/fixture_test.go
@@ -164,7 +164,7 @@
 	config.server.Reserve = f.reserve
 	config.server.Enter = f.enter
 	config.server.Claim = claims.Claim
-	config.server.PickService = f.router.PickService
+	config.server.AwaitService = f.router.AwaitService
 	config.server.Forwarder = f.forwarder
 	config.server.Log = log
 	f.server = server.New(config.server)
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -276,7 +276,7 @@
 		Begin:           e.startRoutedResponse,
 		Write:           e.writeRoutedPart,
 	})
-	return err
+	return e.withLimitRetry(err)
 }
 
 // markMissing records that an upstream does not hold the checkpoint or adapter of the request, so that no other
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,8 +40,16 @@
 	AddDemand func(ticket queuer.Ticket)
 	// Claim claims the right to run a call that must run at most once.
 	Claim func(ctx context.Context, request claimer.Request) (*claimer.Claim, error)
-	// PickService chooses an instance of a plain service.
-	PickService func(service, pin string, exclude []string) (*router.Choice, bool)
+	// AwaitService chooses an instance of a plain service; it may wait for some milliseconds.
+	AwaitService func(ctx context.Context, service string) (*router.Choice, bool)
+	// LimitEnd reports whether all upstreams that could run a request have used up the limits that they state, and
+	// returns when a request could be sent with a number of requests ahead of it. nil means that there are no limits.
+	LimitEnd func(need router.Need, ahead int) (time.Time, bool)
+	// RetryTime returns when a caller should come back whose request is refused because of limits: not before the
+	// given time.
+	RetryTime func(need router.Need, earliest time.Time) time.Time
+	// Waiting returns the number of requests in the queue of a model, and the sum of their tokens.
+	Waiting func(model string) (requests int, tokens int64)
 	// Allows reports whether team may use a model, adapter or service whose allowed teams are teams; nil allows the
 	// teams on the list, and every team if the list is empty.
 	Allows func(teams []string, team string) bool
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -50,6 +50,7 @@
 			return nil, newRefusal(refuser.CodeNoRoute, "the path leads to no service")
 		}
 		e.service = service
+		e.need.Service = service.Name
 		e.dispatch.atMostOnce = slices.Contains(service.Once, e.request.Method)
 		return next(ctx, e)
 	}
@@ -100,15 +101,16 @@
 }
 
 // pickInstance chooses an instance of the service.
-func (s *Server) pickInstance(_ context.Context, request any) (any, error) {
+func (s *Server) pickInstance(ctx context.Context, request any) (any, error) {
 	e := request.(*exchange)
 	if err := e.recheck(); err != nil {
 		return nil, err
 	}
-	choice, ok := s.config.PickService(e.service.Name, "", nil)
+	choice, ok := s.config.AwaitService(ctx, e.service.Name)
 	if !ok {
 		refusal := newRefusal(refuser.CodeNoUpstream, "no instance of the service has room")
 		refusal.RetryAt = s.config.Now().Add(time.Second)
+		e.setLimitRetry(refusal)
 		return nil, refusal
 	}
 	e.choice = choice
--- a/internal/tracker/config.go
+++ b/internal/tracker/config.go
@@ -55,10 +55,8 @@
 	Now func() time.Time
 	// Log receives one line per event; nil means the standard logger.
 	Log logrus.FieldLogger
-	// Attachment returns the attachment of each heartbeat and answer; may be nil.
-	Attachment func() []byte
-	// HandleAttachment receives the attachment of a peer's heartbeat or answer; may be nil.
-	HandleAttachment func(from messenger.Peer, attachment []byte)
+	// Attachments are sent with each heartbeat and answer. All instances have the same ones in the same order.
+	Attachments []Attachment
 
 	// runsFreezeDetector is set if Run has to run the detector.
 	runsFreezeDetector bool
--- a/internal/tracker/heartbeat.go
+++ b/internal/tracker/heartbeat.go
@@ -67,9 +67,7 @@
 	for _, r := range t.allRosters() {
 		message.Updates = append(message.Updates, encodeAll(r.takeChanges(to, maxUpdates-len(message.Updates)))...)
 	}
-	if t.config.Attachment != nil {
-		message.Attachment = t.config.Attachment()
-	}
+	t.attach(message)
 	message.Rows, message.Age = t.list.digestAndAge(t.config.Now())
 	return message
 }
@@ -128,9 +126,7 @@
 	now := t.config.Now()
 	t.compareViews(member.Peer, message.GetDigest(), now)
 	t.list.handleAnnouncement(t, member.Peer, message.GetRows(), message.GetAge(), now)
-	if t.config.HandleAttachment != nil && len(message.GetAttachment()) > 0 {
-		t.config.HandleAttachment(member.Peer, message.GetAttachment())
-	}
+	t.handleAttachments(member.Peer, message)
 }
 
 // mergeSender applies how a member describes itself, and records that it was heard from.
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -132,17 +132,29 @@
 		Call:            f.network.Caller(node),
 		Now:             node.Gate.Now,
 		Log:             log,
-		Attachment:      func() []byte { return []byte(row.Name) },
-		HandleAttachment: func(from messenger.Peer, attachment []byte) {
-			f.lock.Lock()
-			defer f.lock.Unlock()
-			if f.deliveries[row.Name] == nil {
-				f.deliveries[row.Name] = map[string]int{}
-			}
-			f.deliveries[row.Name][string(attachment)]++
-			if from.Name != string(attachment) {
-				panic("attachment of another member")
-			}
+		Attachments: []tracker.Attachment{
+			{
+				Read: func() []byte { return []byte(row.Name) },
+				Handle: func(from messenger.Peer, attachment []byte) {
+					f.lock.Lock()
+					defer f.lock.Unlock()
+					if f.deliveries[row.Name] == nil {
+						f.deliveries[row.Name] = map[string]int{}
+					}
+					f.deliveries[row.Name][string(attachment)]++
+					if from.Name != string(attachment) {
+						panic("attachment of another member")
+					}
+				},
+			},
+			{
+				Read: func() []byte { return []byte("second of " + row.Name) },
+				Handle: func(from messenger.Peer, attachment []byte) {
+					if "second of "+from.Name != string(attachment) {
+						panic("attachments are mixed up")
+					}
+				},
+			},
 		},
 	})
 	node.Handlers = t.Handlers()
