--- a/internal/app/local.go
+++ b/internal/app/local.go
@@ -14,6 +14,9 @@
 	Output io.Writer
 	// Log is the destination of the instance's log.
 	Log io.Writer
+	// ServiceLimit is the number of requests per second that the plain service states as its limit; negative if
+	// it states none.
+	ServiceLimit float64
 }
 
 // The sizes of the local stand-ins: the number of engines, the weight store's speed in bytes a second,
@@ -31,7 +34,8 @@
 // part that failed to start.
 func RunLocal(ctx context.Context, config LocalConfig) error {
 	site := &localSite{
-		output: config.Output,
+		output:       config.Output,
+		serviceLimit: config.ServiceLimit,
 	}
 	standIns, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/internal/app/localsite.go
+++ b/internal/app/localsite.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/buckthorngap/buckthorngap/internal/certifier"
+	"github.com/buckthorngap/buckthorngap/internal/emulator/faulter"
 	"github.com/buckthorngap/buckthorngap/internal/emulator/platformer"
 	"github.com/buckthorngap/buckthorngap/internal/emulator/runner"
 	"github.com/buckthorngap/buckthorngap/internal/emulator/servicer"
@@ -21,6 +22,8 @@
 type localSite struct {
 	output   io.Writer
 	platform netip.AddrPort
+	// serviceLimit is the limit that the plain service states, in requests per second; negative for none.
+	serviceLimit float64
 }
 
 // start starts the stand-ins and registers the upstreams with the platform's stand-in.
@@ -47,9 +50,17 @@
 			Address: address,
 		})
 	}
-	address, err := serveLocal(ctx, servicer.New(servicer.Config{
+	service := servicer.New(servicer.Config{
 		Name: "crates1",
-	}))
+	})
+	if s.serviceLimit >= 0 {
+		service.Faults().Set(faulter.Fault{
+			Kind:  faulter.Limit,
+			Count: -1,
+			Rate:  s.serviceLimit,
+		})
+	}
+	address, err := serveLocal(ctx, service)
 	if err != nil {
 		return err
 	}
--- a/internal/commander/processes.go
+++ b/internal/commander/processes.go
@@ -27,10 +27,12 @@
 	})
 
 	local := c.app.Command("local", "Run a complete demo in one process: platform, engines, a service and one instance.")
+	limit := local.Flag("limit", "Requests per second that the plain service states as its limit; negative for none.").Default("-1").Float64()
 	c.register(local, func(ctx context.Context) error {
 		return app.RunLocal(ctx, app.LocalConfig{
-			Output: c.invocation.Output,
-			Log:    c.invocation.Errors,
+			Output:       c.invocation.Output,
+			Log:          c.invocation.Errors,
+			ServiceLimit: *limit,
 		})
 	})
 }
--- a/internal/emulator/faulter/faulter.go
+++ b/internal/emulator/faulter/faulter.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -30,8 +31,13 @@
 	Refuse Kind = "refuse"
 	// Fail answers with status 500.
 	Fail Kind = "fail"
+	// Limit makes answers state a limit on the requests of all instances together. The limit is not enforced.
+	Limit Kind = "limit"
 )
 
+// headerRateLimit is the header field of the product's protocol that states a limit in requests per second.
+const headerRateLimit = "X-Rate-Limit"
+
 // Fault is one fault for an emulator to inject.
 type Fault struct {
 	// Kind is the fault's kind.
@@ -44,6 +50,8 @@
 	After int `json:"after,omitempty"`
 	// Delay is the delay of Slow and Late, in milliseconds.
 	Delay int `json:"delay,omitempty"`
+	// Rate is the limit that Limit states, in requests per second.
+	Rate float64 `json:"rate,omitempty"`
 }
 
 // Duration returns Delay as a time.Duration.
@@ -97,6 +105,13 @@
 	return armed.fault, true
 }
 
+// StateLimit adds the limit to the header of an answer if Limit is armed.
+func (f *Faulter) StateLimit(header http.Header) {
+	if fault, ok := f.Take(Limit); ok {
+		header.Set(headerRateLimit, strconv.FormatFloat(fault.Rate, 'g', -1, 64))
+	}
+}
+
 // ServeHTTP arms the fault in a request's body.
 func (f *Faulter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var fault Fault
--- a/internal/emulator/launcher/upstreams.go
+++ b/internal/emulator/launcher/upstreams.go
@@ -4,11 +4,29 @@
 	"context"
 	"net/http"
 
+	"github.com/buckthorngap/buckthorngap/internal/emulator/faulter"
 	"github.com/buckthorngap/buckthorngap/internal/emulator/runner"
 	"github.com/buckthorngap/buckthorngap/internal/emulator/servicer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 )
 
+const (
+	limitHelp = "Requests per second that answers state as the limit of all instances together; negative for none."
+	noLimit   = "-1"
+)
+
+// stateLimit makes answers state a limit, in requests per second, unless it is negative.
+func stateLimit(faults *faulter.Faulter, rate float64) {
+	if rate < 0 {
+		return
+	}
+	faults.Set(faulter.Fault{
+		Kind:  faulter.Limit,
+		Count: -1,
+		Rate:  rate,
+	})
+}
+
 func (l *Launcher) addEngine() {
 	command := l.app.Command("engine", "A model engine.")
 	listen := command.Flag("listen", "Address and port.").Default("127.0.0.1:0").String()
@@ -27,6 +45,7 @@
 	onDisk := command.Flag("on-disk", "A checkpoint that is on disk; may be repeated.").Strings()
 	inMemory := command.Flag("in-memory", "A checkpoint that is in host memory; may be repeated.").Strings()
 	journal := command.Flag("journal", "Requests kept in the journal.").Default("20000").Int()
+	limit := command.Flag("limit", limitHelp).Default(noLimit).Float64()
 	l.commands["engine"] = func(ctx context.Context) error {
 		config := runner.Config{
 			Name:                 *name,
@@ -50,7 +69,9 @@
 			}
 			config.Fetch = fetcher.Fetch
 		}
-		return l.serve(ctx, *name, *listen, runner.New(config))
+		engine := runner.New(config)
+		stateLimit(engine.Faults(), *limit)
+		return l.serve(ctx, *name, *listen, engine)
 	}
 }
 
@@ -72,11 +93,14 @@
 	name := command.Flag("name", "Name in the platform's list.").Required().String()
 	duration := command.Flag("time", "Duration of a call.").Default("1ms").Duration()
 	journal := command.Flag("journal", "Calls kept in the journal.").Default("50000").Int()
+	limit := command.Flag("limit", limitHelp).Default(noLimit).Float64()
 	l.commands["service"] = func(ctx context.Context) error {
-		return l.serve(ctx, *name, *listen, servicer.New(servicer.Config{
+		service := servicer.New(servicer.Config{
 			Name:    *name,
 			Time:    *duration,
 			Journal: *journal,
-		}))
+		})
+		stateLimit(service.Faults(), *limit)
+		return l.serve(ctx, *name, *listen, service)
 	}
 }
--- a/internal/emulator/runner/stream.go
+++ b/internal/emulator/runner/stream.go
@@ -30,6 +30,7 @@
 
 // serveCompletion runs a request: it waits for a slot of the engine and sends the answer, or injects a fault.
 func (r *Runner) serveCompletion(w http.ResponseWriter, request *http.Request) {
+	r.faults.StateLimit(w.Header())
 	completion, err := readCompletion(request)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -177,6 +178,7 @@
 // serveResume sends the rest of a broken stream after the number of tokens that
 // the client has received. It answers 410 if the request or its copy is gone.
 func (r *Runner) serveResume(w http.ResponseWriter, request *http.Request) {
+	r.faults.StateLimit(w.Header())
 	after, err := strconv.Atoi(request.URL.Query().Get("after"))
 	r.mu.Lock()
 	s, ok := r.streams[request.PathValue("id")]
--- a/internal/emulator/servicer/servicer.go
+++ b/internal/emulator/servicer/servicer.go
@@ -80,6 +80,7 @@
 // serveCall runs a call and adds it to the journal. Of the injected faults, Cut
 // and Refuse act before the call runs, and Lost after it.
 func (s *Servicer) serveCall(w http.ResponseWriter, r *http.Request) {
+	s.faults.StateLimit(w.Header())
 	if fault, ok := s.faults.Take(faulter.Slow); ok {
 		time.Sleep(fault.Duration())
 	}
