Show permits and limits in dump and in request.waited

Part of why the incident could not be told from outside: a request that waited in vain for a limit looked like one without a free slot. request.waited has limited=N, and pacing in dump has the permits that this instance granted as a holder.

--- a/internal/pacer/dump.go
+++ b/internal/pacer/dump.go
@@ -26,6 +26,8 @@
 	Denied uint64 `json:"denied"`
 	// Alone is the number of requests admitted while the holder of the upstream's duty did not answer.
 	Alone uint64 `json:"alone"`
+	// Granted is the number of permits that this instance has granted as the holder of the upstream's duty.
+	Granted uint64 `json:"granted"`
 	// Silent is set while the holder does not answer.
 	Silent bool `json:"silent"`
 }
@@ -34,12 +36,24 @@
 func (p *Pacer) Dump() any {
 	rows := []Row{}
 	for _, g := range p.list() {
-		rows = append(rows, g.row())
+		row := g.row()
+		row.Granted = p.grantedFor(g.upstream)
+		rows = append(rows, row)
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Upstream, b.Upstream) })
 	return rows
 }
 
+// grantedFor returns the number of permits that this instance has granted for an upstream in its current or last term.
+func (p *Pacer) grantedFor(upstream Upstream) uint64 {
+	p.granting.Lock()
+	defer p.granting.Unlock()
+	if s := p.schedules[upstream]; s != nil {
+		return s.granted
+	}
+	return 0
+}
+
 // row returns the gate's entry in a state dump.
 func (g *gate) row() Row {
 	g.mu.Lock()
--- a/internal/pacer/schedule.go
+++ b/internal/pacer/schedule.go
@@ -16,6 +16,8 @@
 	next time.Time
 	// turn is the time that the last instance without a permit was told to ask again.
 	turn time.Time
+	// granted is the number of permits so far.
+	granted uint64
 }
 
 // newSchedule returns a schedule that gives its first permit at a time.
@@ -39,6 +41,7 @@
 	if !s.next.After(now) {
 		granted = min(count, int(now.Sub(s.next)/interval)+1)
 		s.next = s.next.Add(time.Duration(granted) * interval)
+		s.granted += uint64(granted)
 	}
 	if granted > 0 || count == 0 {
 		return granted, 0
--- a/internal/router/candidatecounts.go
+++ b/internal/router/candidatecounts.go
@@ -12,6 +12,8 @@
 	Full int
 	// CircuitOpen is how many of them have an open circuit after failures.
 	CircuitOpen int
+	// Limited is how many of them have stated a limit that leaves no room for a request now.
+	Limited int
 	// Excluded is how many of them were tried already.
 	Excluded int
 }
@@ -28,6 +30,9 @@
 		if slices.Contains(need.Exclude, u.name) {
 			counts.Excluded++
 		}
+		if state := r.config.LimitState(u.paced()); state.Limited && state.Next.After(now) {
+			counts.Limited++
+		}
 		u.mu.Lock()
 		if u.load() >= u.capacity {
 			counts.Full++
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -85,6 +85,7 @@
 		"lacking":  state.WithoutAdapter,
 		"full":     state.Full,
 		"resting":  state.CircuitOpen,
+		"limited":  state.Limited,
 		"excluded": state.Excluded,
 		"waited":   e.elapsedSince(began),
 	})
