Grant permits for failure domains whose instances are gone

Found by reading the fix: if all instances of a failure domain were lost, the others still reached its upstreams but no holder, and used a third of a stated limit. Now the next domain in the settings' order that has a live instance grants for it; all instances agree on it as far as they agree on who is alive.

A limit that varies a little with each answer was reported to the holder and logged with each of them. Only its begin, its end and a change by a tenth are now; requests for permits and heartbeats carry the exact rate.

Tests: TestAnotherDomainGrantsForOneWithoutInstances, TestRateThatVariesIsReportedOnlyIfItChangesNotably.

--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -80,6 +80,7 @@
 		Duties:      limiter.Duties(i.settings.Duties.Limits),
 		Term:        i.term,
 		Owner:       i.owner,
+		Domains:     i.settings.Limits.Domains,
 		LiveMembers: i.tracker.Alive,
 		Call:        i.messenger.Call,
 		Instances:   func() int { return 1 + i.tracker.Count() },
--- a/internal/pacer/ask.go
+++ b/internal/pacer/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -25,7 +26,7 @@
 // had.
 func (a *ask) run(ctx context.Context) {
 	p := a.pacer
-	count, known := a.gate.request()
+	count, known := a.gate.nextBatch(), a.gate.known()
 	sent := p.config.Now()
 	grant, err := p.request(ctx, a.gate.upstream, count, known)
 	now := p.config.Now()
@@ -51,7 +52,7 @@
 func (a *ask) fail(now time.Time, err error) {
 	p := a.pacer
 	p.metrics.unanswered.Inc()
-	_, known := a.gate.request()
+	known := a.gate.known()
 	started := a.gate.fail(now, func() *fallback {
 		return newFallback(now, known, p.config.Instances(), p.config.Random)
 	})
@@ -77,11 +78,24 @@
 	return grant, proto.Unmarshal(answer, grant)
 }
 
+// grantingDomain returns the failure domain whose instances grant the permits for the upstreams of a domain: the domain
+// itself or, if it has no live instance, the next one that has.
+func (p *Pacer) grantingDomain(domain string) string {
+	first := max(0, slices.Index(p.config.Domains, domain))
+	for i := range p.config.Domains {
+		candidate := p.config.Domains[(first+i)%len(p.config.Domains)]
+		if candidate == p.config.Self.Domain || len(p.config.LiveMembers(candidate)) > 0 {
+			return candidate
+		}
+	}
+	return domain
+}
+
 // delegate returns the request to the holder of a duty that carries an ask.
 func (p *Pacer) delegate(message *pacerpb.Ask) delegator.Request {
 	number := int(message.GetDuty()) % len(p.config.Duties)
 	return delegator.Request{
-		Domain:    message.GetLimit().GetDomain(),
+		Domain:    p.grantingDomain(message.GetLimit().GetDomain()),
 		Duty:      p.config.Duties[number],
 		Number:    number,
 		Forwarded: message.GetForwarded(),
--- a/internal/pacer/config.go
+++ b/internal/pacer/config.go
@@ -22,6 +22,8 @@
 	Term func(duty string) (holder.Fence, bool)
 	// Owner returns the holder of a duty of this failure domain, as far as it is known.
 	Owner func(duty string) (messenger.Peer, uint64, bool)
+	// Domains are the names of all failure domains, in the same order on all instances.
+	Domains []string
 	// LiveMembers returns the live instances of a failure domain except this one.
 	LiveMembers func(domain string) []tracker.Member
 	// Call sends a message.
--- a/internal/pacer/gate.go
+++ b/internal/pacer/gate.go
@@ -22,7 +22,8 @@
 
 	mu    sync.Mutex
 	limit limit
-	// changedAt is the time of the last change of limited or rate.
+	// reported is the limit after its last notable change, at changedAt.
+	reported  limit
 	changedAt time.Time
 	// ownAt is when this instance itself last got an answer that stated a limit.
 	ownAt time.Time
@@ -87,13 +88,14 @@
 	return g.set(l)
 }
 
-// set replaces the limit and reports whether limited or rate changed. The caller holds the lock.
+// set replaces the limit and reports whether it has changed so much that the holder must be told at once. The caller
+// holds the lock.
 func (g *gate) set(l limit) bool {
-	old := g.limit
 	g.limit = l
-	if old.limited == l.limited && old.rate == l.rate {
+	if !l.differs(g.reported) {
 		return false
 	}
+	g.reported = l
 	g.changedAt = l.at
 	g.permits = min(g.permits, 1)
 	g.batch = 1
@@ -138,11 +140,18 @@
 	return true
 }
 
-// request returns the number of permits to ask for and the limit as known here.
-func (g *gate) request() (int, limit) {
+// known returns what is known of the limit.
+func (g *gate) known() limit {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(1, g.batch), g.limit
+	return g.limit
+}
+
+// nextBatch returns the number of permits to ask for.
+func (g *gate) nextBatch() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(1, g.batch)
 }
 
 // credit applies the answer to a request for permits. The batch grows while all that is asked for is granted.
--- a/internal/pacer/gossip.go
+++ b/internal/pacer/gossip.go
@@ -19,7 +19,7 @@
 	now := p.config.Now()
 	message := &pacerpb.Limits{}
 	for _, g := range p.list() {
-		_, known := g.request()
+		known := g.known()
 		if now.Sub(known.at) > limitTTL || len(message.GetLimits()) == maxAttachedLimits {
 			continue
 		}
--- a/internal/pacer/grant.go
+++ b/internal/pacer/grant.go
@@ -42,7 +42,7 @@
 		Limit: message.GetLimit(),
 	}
 	if g := p.gate(upstream); g != nil {
-		_, known := g.request()
+		known := g.known()
 		grant.Limit = known.encode(upstream, now)
 		if known.limited {
 			granted, wait, err := p.grant(term, upstream, known, count)
--- a/internal/pacer/limit.go
+++ b/internal/pacer/limit.go
@@ -1,6 +1,7 @@
 package pacer
 
 import (
+	"math"
 	"time"
 
 	"github.com/buckthorngap/buckthorngap/internal/pacer/pacerpb"
@@ -12,6 +13,9 @@
 	minRate = 0.05
 	// relayTolerance is the error of the age of knowledge that peers have passed on.
 	relayTolerance = 50 * time.Millisecond
+	// rateTolerance is the fraction by which a limit may change without being reported at once. Requests for permits
+	// and heartbeats carry the new rate anyway.
+	rateTolerance = 0.1
 	// foreignEndDelay is how much later than the last answer with a limit that this instance got itself a peer
 	// must have got one without, for the limit to end here as well.
 	foreignEndDelay = 2 * time.Second
@@ -35,6 +39,14 @@
 	return l.limited && l.at.After(known.at.Add(-relayTolerance)) && (!known.limited || l.rate < known.rate)
 }
 
+// differs reports whether the limit has begun, ended or changed by more than rateTolerance.
+func (l limit) differs(other limit) bool {
+	if l.limited != other.limited {
+		return true
+	}
+	return math.Abs(l.rate-other.rate) > rateTolerance*other.rate
+}
+
 // interval returns the time between two requests at the rate of the limit.
 func (l limit) interval() time.Duration {
 	return time.Duration(float64(time.Second) / max(l.rate, minRate))
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -169,7 +169,7 @@
 
 // logChange counts and logs a changed limit.
 func (p *Pacer) logChange(g *gate) {
-	_, known := g.request()
+	known := g.known()
 	p.metrics.statements.Inc()
 	p.config.Log.WithFields(logrus.Fields{
 		"upstream": g.upstream.Name,
@@ -274,7 +274,7 @@
 	now := p.config.Now()
 	var gone []Upstream
 	for _, g := range p.list() {
-		_, known := g.request()
+		known := g.known()
 		if now.Sub(known.at) > limitTTL && (!known.limited || !p.config.Listed(g.upstream)) {
 			gone = append(gone, g.upstream)
 		}
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -356,6 +356,49 @@
 	})
 }
 
+// TestAnotherDomainGrantsForOneWithoutInstances checks that all instances agree on who grants the permits for the
+// upstreams of a failure domain whose instances are gone.
+func TestAnotherDomainGrantsForOneWithoutInstances(t *testing.T) {
+	is := is.New(t)
+	domains := []string{"a", "b", "c"}
+	alive := map[string][]tracker.Member{"a": {{}}, "c": {{}}}
+	for _, self := range []string{"a", "c"} {
+		p := New(Config{
+			Self: messenger.Sender{
+				Domain: self,
+			},
+			Domains:     domains,
+			LiveMembers: func(domain string) []tracker.Member { return alive[domain] },
+		})
+		is.Equal(p.grantingDomain("a"), "a")
+		is.Equal(p.grantingDomain("b"), "c")
+		is.Equal(p.grantingDomain("c"), "c")
+	}
+}
+
+// TestRateThatVariesIsReportedOnlyIfItChangesNotably guards against a message and a log line for each answer.
+func TestRateThatVariesIsReportedOnlyIfItChangesNotably(t *testing.T) {
+	is := is.New(t)
+	g := &gate{}
+	now := time.Unix(1000, 0)
+	observe := func(rate float64) bool {
+		now = now.Add(time.Second)
+		return g.observe(now, Statement{
+			Limited: true,
+			Rate:    rate,
+			Sent:    now,
+		})
+	}
+	is.True(observe(10))
+	is.True(!observe(10.5))
+	is.True(!observe(9.5))
+	is.Equal(g.limit.rate, 9.5)
+	is.True(!observe(11))
+	is.True(observe(11.5)) // a slow rise is reported, too
+	is.True(observe(1))
+	is.True(observe(0))
+}
+
 // TestRefusedCallersComeBackOneByOne checks that callers that are refused together are not told the same time.
 func TestRefusedCallersComeBackOneByOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/pacer/report.go
+++ b/internal/pacer/report.go
@@ -11,7 +11,7 @@
 // run sends the report. If it does not arrive, the holder learns of the change with the next request for permits or
 // heartbeat.
 func (r *report) run(ctx context.Context) {
-	_, known := r.gate.request()
+	known := r.gate.known()
 	grant, err := r.pacer.request(ctx, r.gate.upstream, 0, known)
 	if err != nil {
 		r.pacer.metrics.unanswered.Inc()
