Send load requests through the delegator

The pacer needed the way to a duty's holder that the stager had: directly in the own failure domain, through up to two instances of another one, passed on once. Both use package delegator now; the messages are unchanged. TestNewHolderWaitsForTheGracePeriod calls sendToDomain in place of serveOrForward, which is gone: the same path.

--- a/internal/delegator/delegator.go
+++ b/internal/delegator/delegator.go
@@ -39,22 +39,23 @@
 
 // Send has the holder of the duty answer a request: directly within this failure domain, and through an
 // instance of the other domain otherwise, since Config.Owner covers only this domain. It returns *NoHolder
-// or the error of the call.
+// or the error of the last call.
 func (d *Delegator) Send(ctx context.Context, r Request) ([]byte, error) {
 	if r.Domain == d.config.Self.Domain {
 		return d.ServeOrForward(ctx, r)
 	}
+	var answer []byte
 	var err error = &NoHolder{
 		Duty: r.Duty,
 	}
 	for _, peer := range d.contacts(r) {
-		var answer []byte
 		answer, err = d.call(ctx, peer, r, false)
-		if err == nil || ctx.Err() != nil {
-			return answer, err
+		answered := err == nil && (r.Refused == nil || !r.Refused(answer))
+		if answered || ctx.Err() != nil {
+			break
 		}
 	}
-	return nil, err
+	return answer, err
 }
 
 // ServeOrForward answers a request if this instance holds the duty, and otherwise passes it to the holder,
--- a/internal/delegator/request.go
+++ b/internal/delegator/request.go
@@ -17,6 +17,9 @@
 	Forwarded bool
 	// Encode returns the message that asks a peer; forwarded is set if the peer must not pass it on.
 	Encode func(forwarded bool) ([]byte, error)
+	// Refused reports whether an answer of an instance of another domain is no reason not to ask the next one; nil
+	// means that every answer is final.
+	Refused func(answer []byte) bool
 	// Serve answers the request as the holder of the duty.
 	Serve func(ctx context.Context, term holder.Fence) ([]byte, error)
 }
--- a/internal/stager/request.go
+++ b/internal/stager/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -122,37 +121,6 @@
 	}))
 }
 
-// sendToDomain sends a request to the holder of a duty of a failure domain: directly within this
-// domain, and through instances of the other domain otherwise, since Config.Owner covers only this
-// domain.
-func (s *Stager) sendToDomain(ctx context.Context, domain string, ask *stagerpb.Ask) *stagerpb.Told {
-	if domain == s.config.Self.Domain {
-		return s.serveOrForward(ctx, ask)
-	}
-	answer := &stagerpb.Told{
-		Refused: "no instance of " + domain + " is known",
-	}
-	for _, peer := range s.contacts(domain, ask.GetDuty()) {
-		answer = s.send(ctx, peer, ask)
-		if answer.GetRefused() == "" || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return answer
-		}
-	}
-	return answer
-}
-
-// contacts returns up to two live instances of another domain to send a request to. The number
-// of the duty selects the first, so that requests for different duties are spread over the
-// instances.
-func (s *Stager) contacts(domain string, number uint32) []messenger.Peer {
-	members := s.config.LiveMembers(domain)
-	peers := make([]messenger.Peer, min(len(members), 2))
-	for i := range peers {
-		peers[i] = members[(int(number)+i)%len(members)].Peer
-	}
-	return peers
-}
-
 // modelTimeout bounds a load request for a model.
 const modelTimeout = 300 * time.Millisecond
 
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -18,6 +18,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/buckthorngap/buckthorngap/internal/delegator"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/stager/stagerpb"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
@@ -30,8 +31,9 @@
 // Stager requests loads from the holders of duties, and decides about loads for the engines
 // whose duty this instance holds.
 type Stager struct {
-	config Config
-	demand *demand
+	config    Config
+	demand    *demand
+	delegator *delegator.Delegator
 
 	mu sync.Mutex
 	// views holds what is known of each engine, by its name.
@@ -57,8 +59,16 @@
 func New(config Config) *Stager {
 	config = config.withDefaults()
 	return &Stager{
-		config:     config,
-		demand:     newDemand(config.Now),
+		config: config,
+		demand: newDemand(config.Now),
+		delegator: delegator.New(delegator.Config{
+			Self:        config.Self,
+			Topic:       Topic,
+			Term:        config.Term,
+			Owner:       config.Owner,
+			LiveMembers: config.LiveMembers,
+			Call:        config.Call,
+		}),
 		views:      map[string]*view{},
 		inFlight:   map[string]*loadRequest{},
 		termStarts: map[string]termStart{},
@@ -100,38 +110,41 @@
 			Cause: err,
 		}
 	}
-	return proto.Marshal(s.serveOrForward(ctx, ask))
+	return proto.Marshal(decodeTold(s.delegator.ServeOrForward(ctx, s.delegate(s.config.Self.Domain, ask))))
 }
 
-// serveOrForward serves a load request if this instance holds the duty, and otherwise forwards it
-// to the holder. A request is forwarded only once.
-func (s *Stager) serveOrForward(ctx context.Context, ask *stagerpb.Ask) *stagerpb.Told {
+// sendToDomain sends a load request to the holder of a duty of a failure domain. A failed call becomes a refusal.
+func (s *Stager) sendToDomain(ctx context.Context, domain string, ask *stagerpb.Ask) *stagerpb.Told {
+	return decodeTold(s.delegator.Send(ctx, s.delegate(domain, ask)))
+}
+
+// delegate returns the request to the holder of a duty that carries a load request.
+func (s *Stager) delegate(domain string, ask *stagerpb.Ask) delegator.Request {
 	duty := dutyName(int(ask.GetDuty()))
-	if term, ok := s.config.Term(duty); ok {
-		return s.serve(ctx, duty, term, ask)
+	return delegator.Request{
+		Domain:    domain,
+		Duty:      duty,
+		Number:    int(ask.GetDuty()),
+		Forwarded: ask.GetPassed(),
+		Encode: func(forwarded bool) ([]byte, error) {
+			ask.Passed = forwarded
+			return proto.Marshal(ask)
+		},
+		Refused: func(answer []byte) bool { return decodeTold(answer, nil).GetRefused() != "" },
+		Serve: func(ctx context.Context, term Term) ([]byte, error) {
+			return proto.Marshal(s.serve(ctx, duty, term, ask))
+		},
 	}
-	owner, _, ok := s.config.Owner(duty)
-	if !ok || ask.GetPassed() || owner.Name == s.config.Self.Name {
-		return &stagerpb.Told{
-			Refused: "nobody holds " + duty,
-		}
-	}
-	ask.Passed = true
-	return s.send(ctx, owner, ask)
 }
 
-// send sends a load request to a peer. A failed call becomes a refusal.
-func (s *Stager) send(ctx context.Context, peer messenger.Peer, ask *stagerpb.Ask) *stagerpb.Told {
+// decodeTold decodes the answer to a load request. An error becomes a refusal.
+func decodeTold(payload []byte, err error) *stagerpb.Told {
 	answer := &stagerpb.Told{}
-	payload, err := proto.Marshal(ask)
-	if err == nil {
-		payload, err = s.config.Call(ctx, peer, Topic, payload)
-	}
 	if err == nil {
 		err = proto.Unmarshal(payload, answer)
 	}
 	if err != nil {
-		answer.Refused = peer.Name + " did not answer: " + err.Error()
+		answer.Refused = "no holder answered: " + err.Error()
 	}
 	return answer
 }
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -276,7 +276,7 @@
 		f := newFixture(t, "m0")
 		f.term.Epoch = 2
 		ask := func() *stagerpb.Told {
-			return f.serveOrForward(context.Background(), &stagerpb.Ask{
+			return f.sendToDomain(context.Background(), f.config.Self.Domain, &stagerpb.Ask{
 				Engine:     "e",
 				Checkpoint: "m0",
 				Adapter:    "m0/a0",
