Bound the rates that peers and answers may state

Found by reading the fix: a stated rate above 1e9 a second made the interval between permits zero, and the holder divided by it; a peer's NaN passed max(). Rates are kept to 1e6 a second at most, and a rate that is no number counts as zero.

The end of a time without answers is logged as pace.answered.

--- a/internal/pacer/ask.go
+++ b/internal/pacer/ask.go
@@ -41,7 +41,9 @@
 	}
 	p.learn(grant.GetLimit())
 	wait := time.Duration(max(0, grant.GetWait()))
-	a.gate.credit(now, count, int(grant.GetCount()), wait)
+	if a.gate.credit(now, count, int(grant.GetCount()), wait) {
+		p.config.Log.WithField("upstream", a.gate.upstream.Name).Info("pace.answered")
+	}
 	p.config.Changed()
 	if wait > 0 && waiter.Pause(ctx, wait) {
 		p.config.Changed()
--- a/internal/pacer/gate.go
+++ b/internal/pacer/gate.go
@@ -154,15 +154,17 @@
 	return max(1, g.batch)
 }
 
-// credit applies the answer to a request for permits. The batch grows while all that is asked for is granted.
-func (g *gate) credit(now time.Time, asked, granted int, wait time.Duration) {
+// credit applies the answer to a request for permits, and reports whether the previous one got no answer. The batch
+// grows while all that is asked for is granted.
+func (g *gate) credit(now time.Time, asked, granted int, wait time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	regained := g.fallback != nil
 	g.asking = false
 	g.fallback = nil
 	g.waitEnd = now.Add(wait)
 	if granted == 0 {
-		return
+		return regained
 	}
 	g.permits = granted
 	g.permitsEnd = now.Add(permitTTL)
@@ -170,6 +172,7 @@
 	if granted == asked {
 		g.batch = min(maxBatch, 2*asked)
 	}
+	return regained
 }
 
 // fail records that a request for permits got no answer, and starts the fallback. It reports whether the
--- a/internal/pacer/limit.go
+++ b/internal/pacer/limit.go
@@ -11,6 +11,8 @@
 	// minRate is the lowest rate at which requests are sent, in requests per second. Only an answer shows that
 	// a limit of zero has ended.
 	minRate = 0.05
+	// maxRate is the highest rate that is kept to, in requests per second; a limit above it has no effect on any site.
+	maxRate = 1e6
 	// relayTolerance is the error of the age of knowledge that peers have passed on.
 	relayTolerance = 50 * time.Millisecond
 	// rateTolerance is the fraction by which a limit may change without being reported at once. Requests for permits
@@ -49,7 +51,7 @@
 
 // interval returns the time between two requests at the rate of the limit.
 func (l limit) interval() time.Duration {
-	return time.Duration(float64(time.Second) / max(l.rate, minRate))
+	return time.Duration(float64(time.Second) / min(max(l.rate, minRate), maxRate))
 }
 
 // encode returns the wire form of the limit.
@@ -71,9 +73,13 @@
 		Start:  message.GetStart(),
 		Domain: message.GetDomain(),
 	}
-	return upstream, limit{
+	decoded := limit{
 		limited: !message.GetEnded(),
-		rate:    max(0, message.GetRate()),
+		rate:    message.GetRate(),
 		at:      now.Add(-time.Duration(max(0, message.GetAge()))),
 	}
+	if !(decoded.rate >= 0) {
+		decoded.rate = 0
+	}
+	return upstream, decoded
 }
