--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -35,6 +35,8 @@
 	random *rand.Rand
 	// cut lists the pacers that no message reaches.
 	cut map[int]bool
+	// messages and bytes count the requests for permits and their payload.
+	messages, bytes int
 }
 
 // silent reports a message that is not answered.
@@ -80,6 +82,10 @@
 			},
 			LiveMembers: func(string) []tracker.Member { return nil },
 			Call: func(ctx context.Context, to messenger.Peer, _ string, payload []byte) ([]byte, error) {
+				s.mu.Lock()
+				s.messages++
+				s.bytes += len(payload)
+				s.mu.Unlock()
 				time.Sleep(testDelay)
 				if s.isCut(number) || s.isCut(names[to.Name]) {
 					<-ctx.Done()
@@ -200,7 +206,8 @@
 				s.press(300*time.Millisecond, "u", rate, s.all()...)
 				told := time.Now()
 				s.press(9*time.Second, "u", rate, s.all()...)
-				t.Logf("instances=%d rate=%v most=%d arrived=%d", instances, rate, s.most("u", told), len(s.arrivals["u"])-instances)
+				t.Logf("instances=%d rate=%v most=%d arrived=%d messages=%d bytes=%d",
+					instances, rate, s.most("u", told), len(s.arrivals["u"])-instances, s.messages, s.bytes)
 				is.True(s.most("u", told) <= allowed(rate))
 				// The upstream gets what it takes, but for the permits that the last window has not used.
 				is.True(float64(len(s.arrivals["u"])-instances) >= 0.8*rate*9-2)
