Refuse waiting requests only when a limit leaves no room

Every answer to a request for permits looked through all waiting requests; with ten thousand of them and a hundred answers a second that would cost a sixth of a core by arithmetic. Now only a no does.

--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -85,18 +85,15 @@
 		Call:        i.messenger.Call,
 		Instances:   func() int { return 1 + i.tracker.Count() },
 		Listed:      func(upstream pacer.Upstream) bool { return i.router.Lists(upstream) },
-		Changed:     i.applyLimits,
+		Changed:     i.dispatchWaiting,
+		Denied:      i.refuseLimited,
 		Now:         i.now,
 		Log:         i.log,
 	})
 }
 
-// applyLimits lets waiting requests try again after the limits of upstreams or the permits have changed, and refuses
-// those that would wait in vain.
-func (i *Instance) applyLimits() {
-	i.dispatchWaiting()
-	i.queuer.RefuseWaiting(i.server.RefuseLimited)
-}
+// refuseLimited refuses the waiting requests for which the limits of all their upstreams leave no room in time.
+func (i *Instance) refuseLimited() { i.queuer.RefuseWaiting(i.server.RefuseLimited) }
 
 // dispatchWaiting makes waiting requests of all models try again after an upstream has gained capacity.
 func (i *Instance) dispatchWaiting() { i.queuer.Dispatch("") }
--- a/internal/pacer/ask.go
+++ b/internal/pacer/ask.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		a.fail(now, err)
 		p.config.Changed()
+		p.config.Denied()
 		return
 	}
 	p.learn(grant.GetLimit())
@@ -45,7 +46,11 @@
 		p.config.Log.WithField("upstream", a.gate.upstream.Name).Info("pace.answered")
 	}
 	p.config.Changed()
-	if wait > 0 && waiter.Pause(ctx, wait) {
+	if wait == 0 {
+		return
+	}
+	p.config.Denied()
+	if waiter.Pause(ctx, wait) {
 		p.config.Changed()
 	}
 }
--- a/internal/pacer/config.go
+++ b/internal/pacer/config.go
@@ -34,6 +34,9 @@
 	Listed func(upstream Upstream) bool
 	// Changed is called when waiting requests may be admitted. It must not block; may be nil.
 	Changed func()
+	// Denied is called after Changed when an upstream's limit leaves no room for some time, so that requests that
+	// would wait in vain can be refused. It must not block; may be nil.
+	Denied func()
 	// Now is the clock; it must advance while the machine is suspended. nil means time.Now.
 	Now func() time.Time
 	// Random returns a random number in [0, 1); nil means math/rand/v2.
@@ -49,6 +52,9 @@
 	if c.Changed == nil {
 		c.Changed = func() {}
 	}
+	if c.Denied == nil {
+		c.Denied = func() {}
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
