State the next permit, not one that has expired, without a holder

Found by reading the fix: while no holder answers, the time of the next permit stayed at one that nobody had used, so that requests with no chance were let into the queue. The new test failed before.

--- a/internal/pacer/fallback.go
+++ b/internal/pacer/fallback.go
@@ -35,15 +35,20 @@
 	return t.Add(time.Duration((0.5 + f.random()) * float64(f.mean)))
 }
 
+// due returns the time of the next permit, after those that have expired unused.
+func (f *fallback) due(now time.Time) time.Time {
+	for now.Sub(f.next) > fallbackTTL {
+		f.next = f.after(f.next)
+	}
+	return f.next
+}
+
 // take uses the permit that is due, if there is one. It may be called on nil.
 func (f *fallback) take(now time.Time) bool {
 	if f == nil {
 		return false
 	}
-	for now.Sub(f.next) > fallbackTTL {
-		f.next = f.after(f.next)
-	}
-	if now.Before(f.next) {
+	if now.Before(f.due(now)) {
 		return false
 	}
 	f.next = f.after(f.next)
--- a/internal/pacer/gate.go
+++ b/internal/pacer/gate.go
@@ -204,7 +204,7 @@
 	case g.permits > 0 && now.Before(g.permitsEnd):
 		s.Next = now
 	case g.fallback != nil:
-		s.Next = g.fallback.next
+		s.Next = g.fallback.due(now)
 	}
 	return s
 }
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -406,6 +406,19 @@
 	is.True(observe(0))
 }
 
+// TestStateWithoutAHolderNamesTheNextPermit guards against requests that wait for a permit which has expired.
+func TestStateWithoutAHolderNamesTheNextPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t, 2)
+		s.setHolder(-1)
+		s.press(time.Second, "u", 0.5, 1)
+		time.Sleep(time.Minute)
+		at := s.pacers[1].State(upstream("u")).Next
+		is.True(time.Since(at) <= fallbackTTL)
+	})
+}
+
 // TestRefusedCallersComeBackOneByOne checks that callers that are refused together are not told the same time.
 func TestRefusedCallersComeBackOneByOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
