Let a lowered limit count at once

Trace: seven permits within 75 ms before (6 kept up and one due), then the limit fell, the first answer with 0 came at 24.773 s; after it one request went out by a permit that was due by the former limit (24.842) and one by a permit that its instance still held (24.995).

TestLimitThatFallsToNothingGivesNoPermitOfTheFormerOne failed before.

--- a/internal/pacer/gate.go
+++ b/internal/pacer/gate.go
@@ -95,9 +95,11 @@
 	if !l.differs(g.reported) {
 		return false
 	}
+	if l.limited && l.rate < g.reported.rate {
+		g.permits = 0
+	}
 	g.reported = l
 	g.changedAt = l.at
-	g.permits = min(g.permits, 1)
 	g.batch = 1
 	g.fallback = nil
 	g.waitEnd = time.Time{}
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -197,7 +197,7 @@
 	p.granting.Lock()
 	defer p.granting.Unlock()
 	now := p.config.Now()
-	s := p.schedule(term.Epoch, upstream, now)
+	s := p.schedule(term.Epoch, upstream, known, now)
 	if err := term.Check(); err != nil {
 		return 0, 0, err
 	}
@@ -208,7 +208,7 @@
 
 // schedule returns the schedule of an upstream in a term. In a new term, the first permit is due once those of the
 // previous holder have expired. The caller holds the lock.
-func (p *Pacer) schedule(epoch uint64, upstream Upstream, now time.Time) *schedule {
+func (p *Pacer) schedule(epoch uint64, upstream Upstream, known limit, now time.Time) *schedule {
 	number := p.dutyNumber(upstream)
 	noticed := p.terms[number]
 	if noticed.epoch != epoch {
@@ -224,7 +224,7 @@
 		if first.Before(now) {
 			first = now
 		}
-		s = newSchedule(epoch, first)
+		s = newSchedule(epoch, first, known)
 		p.schedules[upstream] = s
 	}
 	return s
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -267,6 +267,24 @@
 	})
 }
 
+// TestLimitThatFallsToNothingGivesNoPermitOfTheFormerOne guards against the permit that the former limit would have made
+// due next, and against permits that are still unused. Seed 7 of the fault soak showed both.
+func TestLimitThatFallsToNothingGivesNoPermitOfTheFormerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t, 7)
+		s.press(4*time.Second, "u", 10, s.all()...)
+		for !s.send(3, "u", 0) {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(2 * testDelay) // the holder hears of it
+		s.gossip()
+		s.arrivals["u"] = nil
+		s.press(10*time.Second, "u", 0, s.all()...)
+		is.Equal(len(s.arrivals["u"]), 0)
+	})
+}
+
 // TestLimitThatRisesOrEndsHoldsNothingBack checks that a raised limit is used, and that an ended one ends for
 // the instances that have not sent anything since.
 func TestLimitThatRisesOrEndsHoldsNothingBack(t *testing.T) {
