Send requests to limited engines in time, and resumed streams first

Found by the end-to-end test of engines with limits (16 callers of 1 s at two engines of 8 requests a second, every third stream broken): about half of the requests were placed 10 to 20 ms before their deadline and cut by it, and no stream was resumed.

The queue places requests by their deadlines; while more come than the limits allow, every request waits until its last moment, and the engine's capacity is spent on answers that come too late. A stream that waited for a permit to go on looked for it each 2 ms, but waiting requests are placed the moment that a permit arrives.

A request all of whose upstreams have limits now waits for half of its time at most and is then refused as not run, with the time to come back. Streams that wait to be resumed come before other requests.

Tests: TestEnginesGetNoMoreThanTheLimitsThatTheyState (failed before), TestResumedStreamComesBeforeOtherRequests; TestResumedStreamWaitsForAPermit of the router is replaced by the latter, as the wait is the pacer's now.

--- a/internal/pacer/gate.go
+++ b/internal/pacer/gate.go
@@ -38,6 +38,8 @@
 	waitEnd time.Time
 	// fallback gives permits while the holder of the upstream's duty does not answer; nil otherwise.
 	fallback *fallback
+	// resuming is the number of broken streams that wait for a permit to go on. They come before other requests.
+	resuming int
 	// retryTurn is the time that the last refused caller was told to come back.
 	retryTurn time.Time
 	counts    counts
@@ -107,15 +109,16 @@
 	return true
 }
 
-// admit uses a permit if there is one. It reports with Pending that the caller must send a request for permits, or
-// that one is under way.
-func (g *gate) admit(now time.Time) (admission Admission, ask bool) {
+// admit uses a permit if there is one; resumes is set for a broken stream that goes on. It reports with Pending that
+// permits have been asked for, or that the caller must do so.
+func (g *gate) admit(now time.Time, resumes bool) (admission Admission, ask bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	mayUse := resumes || g.resuming == 0
 	switch {
-	case !g.limit.limited || g.usePermit(now):
+	case !g.limit.limited || mayUse && g.usePermit(now):
 		return Admitted, false
-	case g.fallback.take(now):
+	case mayUse && g.fallback.take(now):
 		g.counts.fallback++
 		return Admitted, false
 	case !g.asking && !now.Before(g.waitEnd):
@@ -129,6 +132,13 @@
 	return Denied, ask
 }
 
+// addResuming changes the number of broken streams that wait for a permit.
+func (g *gate) addResuming(change int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.resuming += change
+}
+
 // usePermit uses one of the permits and reports whether there was one. The caller holds the lock.
 func (g *gate) usePermit(now time.Time) bool {
 	if g.permits > 0 && !now.Before(g.permitsEnd) {
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -14,12 +14,15 @@
 	"github.com/buckthorngap/buckthorngap/internal/delegator"
 	"github.com/buckthorngap/buckthorngap/internal/holder"
 	"github.com/buckthorngap/buckthorngap/internal/pacer/pacerpb"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 const (
 	// limitTTL is how long knowledge about a limit is passed on to peers, and kept about upstreams that are no longer
 	// listed.
 	limitTTL = time.Minute
+	// permitPoll is the time between two looks for a permit that is waited for.
+	permitPoll = 2 * time.Millisecond
 	// expiryInterval is the time between two searches for limits to forget.
 	expiryInterval = 10 * time.Second
 )
@@ -96,7 +99,24 @@
 	if g == nil {
 		return Admitted
 	}
-	admission, asks := g.admit(p.config.Now())
+	return p.admit(g, false)
+}
+
+// AwaitPermit waits for a permit to resume a broken stream at an upstream, ahead of other requests. It returns false if
+// the context ends first.
+func (p *Pacer) AwaitPermit(ctx context.Context, upstream Upstream) bool {
+	g := p.gate(upstream)
+	if g == nil {
+		return true
+	}
+	g.addResuming(1)
+	defer g.addResuming(-1)
+	return waiter.Poll(ctx, permitPoll, func() bool { return p.admit(g, true) == Admitted })
+}
+
+// admit uses a permit if there is one, and otherwise asks for one.
+func (p *Pacer) admit(g *gate, resumes bool) Admission {
+	admission, asks := g.admit(p.config.Now(), resumes)
 	if admission == Denied {
 		p.metrics.denied.Inc()
 	}
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -381,6 +381,28 @@
 	})
 }
 
+// TestResumedStreamComesBeforeOtherRequests guards against a broken stream that gets no permit beside many requests
+// that wait for one.
+func TestResumedStreamComesBeforeOtherRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t, 1)
+		p := s.pacers[0]
+		is.True(p.AwaitPermit(context.Background(), upstream("u"))) // no limit
+		s.press(time.Second, "u", 2, 0)
+		go s.press(3*time.Second, "u", 2, 0)
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		is.True(p.AwaitPermit(context.Background(), upstream("u")))
+		is.True(time.Since(began) <= 600*time.Millisecond) // the next permit
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		is.True(!p.AwaitPermit(ctx, upstream("u")))
+		time.Sleep(3 * time.Second)
+		is.True(s.most("u", time.Time{}) <= allowed(2))
+	})
+}
+
 // TestAnotherDomainGrantsForOneWithoutInstances checks that all instances agree on who grants the permits for the
 // upstreams of a failure domain whose instances are gone.
 func TestAnotherDomainGrantsForOneWithoutInstances(t *testing.T) {
--- a/internal/prover/upstreamlimit_test.go
+++ b/internal/prover/upstreamlimit_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/buckthorngap/buckthorngap/internal/emulator/faulter"
 	"github.com/buckthorngap/buckthorngap/internal/emulator/recorder"
+	"github.com/buckthorngap/buckthorngap/internal/emulator/runner"
 	"github.com/buckthorngap/buckthorngap/internal/emulator/servicer"
 	"github.com/buckthorngap/buckthorngap/internal/prover"
+	"github.com/buckthorngap/buckthorngap/internal/starter"
 )
 
 // TestPlainServicesGetNoMoreThanTheLimitsThatTheyState calls the plain service through all instances at several times the
@@ -76,3 +78,87 @@
 	is.Equal(unexplained.Load(), int64(0))
 	is.True(done.Load() > 0)
 }
+
+// TestEnginesGetNoMoreThanTheLimitsThatTheyState streams completions through all instances at several times the limit that
+// the engines state, while every third stream breaks and is resumed: a resumed stream counts as a request.
+func TestEnginesGetNoMoreThanTheLimitsThatTheyState(t *testing.T) {
+	is := is.New(t)
+	const rate, span = 8.0, 8 * time.Second
+	ctx, fixture := prepare(t, twoDomains(), prover.Setup{
+		Models: []string{"ledger"},
+		Rate:   1e6,
+		Burst:  1e6,
+	})
+	site := fixture.Site
+	complete := func(k, n int) prover.Answer {
+		return fixture.Caller(site.Instances[k]).Complete(ctx, prover.CompletionRequest{
+			Model:    "ledger",
+			Prompt:   strconv.Itoa(k) + "-" + strconv.Itoa(n),
+			Tokens:   10,
+			Stream:   true,
+			Deadline: time.Now().Add(time.Second),
+		})
+	}
+	for k := range site.Instances {
+		for n := 0; !complete(k, n).Complete; n++ { // the model is loaded first
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	for _, engine := range site.Engines {
+		for _, fault := range []faulter.Fault{
+			{Kind: faulter.Limit, Count: -1, Rate: rate},
+			{Kind: faulter.Lost, Count: -1, Each: 3, After: 5},
+		} {
+			is.NoErr(site.Post(ctx, engine.Callers, "/control/fault", fault))
+		}
+	}
+	arrivals := func(engine *starter.Process) (count, resumed int) {
+		var journal recorder.Journal[runner.Request]
+		is.NoErr(site.Read(ctx, engine.Callers, "/control/journal", &journal))
+		for _, request := range journal.Entries {
+			if request.Resumed {
+				resumed++
+			}
+		}
+		return len(journal.Entries), resumed
+	}
+	for k := range site.Instances {
+		complete(k, 1000) // every instance knows the limit
+	}
+	before := map[string]int{}
+	for _, engine := range site.Engines {
+		before[engine.Name], _ = arrivals(engine)
+	}
+	var group sync.WaitGroup
+	var done, refused, unknown atomic.Int64
+	end := time.Now().Add(span)
+	for k := range site.Instances {
+		for c := range 4 {
+			group.Go(func() {
+				for n := 2000 * (c + 1); time.Now().Before(end); n++ {
+					switch answer := complete(k, n); {
+					case answer.Complete:
+						done.Add(1)
+					case answer.Outcome == "notrun" && answer.RetryAfter != "":
+						refused.Add(1)
+						time.Sleep(20 * time.Millisecond)
+					default:
+						unknown.Add(1)
+					}
+				}
+			})
+		}
+	}
+	group.Wait()
+	elapsed := time.Since(end.Add(-span))
+	t.Logf("done=%d refused=%d unknown=%d", done.Load(), refused.Load(), unknown.Load())
+	is.True(unknown.Load() <= done.Load()/10) // sent in time to be answered
+	for _, engine := range site.Engines {
+		count, resumed := arrivals(engine)
+		count -= before[engine.Name]
+		t.Logf("engine=%s requests=%d resumed=%d", engine.Name, count, resumed)
+		is.True(resumed > 0)
+		is.True(float64(count) <= 1.5*rate*elapsed.Seconds()+5)
+		is.True(float64(count) >= 0.6*rate*span.Seconds())
+	}
+}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -30,6 +31,8 @@
 	// Admit takes a permit for a request to an upstream that has stated a limit; nil means that limits are
 	// ignored.
 	Admit func(upstream pacer.Upstream) pacer.Admission
+	// AwaitPermit waits for a permit to resume a broken stream at an upstream; nil means that limits are ignored.
+	AwaitPermit func(ctx context.Context, upstream pacer.Upstream) bool
 	// LimitState returns what the limit of an upstream means for this instance's requests; nil means that
 	// limits are ignored.
 	LimitState func(upstream pacer.Upstream) pacer.State
@@ -89,6 +92,9 @@
 	if c.Admit == nil {
 		c.Admit = func(pacer.Upstream) pacer.Admission { return pacer.Admitted }
 	}
+	if c.AwaitPermit == nil {
+		c.AwaitPermit = func(context.Context, pacer.Upstream) bool { return true }
+	}
 	if c.LimitState == nil {
 		c.LimitState = func(pacer.Upstream) pacer.State { return pacer.State{} }
 	}
--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -1,9 +1,7 @@
 package router_test
 
 import (
-	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -94,25 +92,6 @@
 	is.True(!ok)
 }
 
-func TestResumedStreamWaitsForAPermit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(1)
-		l := &limits{
-			admissions: map[string]pacer.Admission{},
-		}
-		r := f.limitedRouter(l)
-		choice, ok := r.Pick(need)
-		is.True(ok)
-		l.admissions["engine0"] = pacer.Pending
-		began := time.Now()
-		is.True(!choice.AwaitPermit(context.Background()))
-		is.True(time.Since(began) < time.Second)
-		delete(l.admissions, "engine0")
-		is.True(choice.AwaitPermit(context.Background()))
-	})
-}
-
 func TestLimitEndIsTheTurnOfTheRequest(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(2)
--- a/internal/router/limitend.go
+++ b/internal/router/limitend.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
@@ -22,6 +21,12 @@
 	return next.Add(time.Duration(float64(ahead) / rate * float64(time.Second))), true
 }
 
+// Limited reports whether all upstreams that could run a request have stated limits.
+func (r *Router) Limited(need Need) bool {
+	_, rate, _ := r.limits(r.config.Now(), &need)
+	return rate > 0
+}
+
 // RetryTime returns when a caller should come back whose request is refused because of limits: not before the
 // given time.
 func (r *Router) RetryTime(need Need, earliest time.Time) time.Time {
@@ -86,10 +91,13 @@
 	return false
 }
 
-// AwaitPermit takes another permit for the upstream of the choice, for a request that continues there. It returns false
-// if there is none in time.
+// maxResumeWait bounds the wait for a permit to resume a broken stream.
+const maxResumeWait = time.Second
+
+// AwaitPermit takes another permit for the upstream of the choice, for a stream that continues there. It returns false if
+// there is none in time.
 func (c *Choice) AwaitPermit(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, maxPermitWait)
+	ctx, cancel := context.WithTimeout(ctx, maxResumeWait)
 	defer cancel()
-	return waiter.Poll(ctx, permitPoll, func() bool { return c.router.config.Admit(c.target.paced()) == pacer.Admitted })
+	return c.router.config.AwaitPermit(ctx, c.target.paced())
 }
--- a/internal/server/enqueue.go
+++ b/internal/server/enqueue.go
@@ -59,9 +59,17 @@
 		ticket.Deadline = e.startBy
 		ticket.Model = e.need.Service + "/" + e.need.Checkpoint
 	}
+	if limited := e.server.config.Limited; limited != nil && limited(e.need) {
+		now := e.server.config.Now()
+		ticket.Deadline = now.Add(ticket.Deadline.Sub(now) / limitWaitDivisor)
+	}
 	return ticket
 }
 
+// limitWaitDivisor sets how long a request waits for upstreams with limits: its time divided by it. Requests are placed
+// by their deadlines, so that while more come than the limits allow, all would be placed in the last moment.
+const limitWaitDivisor = 2
+
 // recheck returns an error if the request must no longer be sent to an upstream: what it was admitted for was
 // withdrawn, or its context ended.
 func (e *exchange) recheck() error {
--- a/internal/server/limited.go
+++ b/internal/server/limited.go
@@ -8,6 +8,9 @@
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
+// limitsReached is the detail of refusals because of limits that upstreams state.
+const limitsReached = "the limits of all upstreams of the request are reached"
+
 // RefuseLimited returns a refusal for a request in the queue if the limits that all its upstreams state leave no room
 // for it before its deadline, and nil otherwise.
 func (s *Server) RefuseLimited(ticket queuer.Ticket) *refuser.Refusal {
@@ -24,7 +27,7 @@
 	if !limited || at.Before(ticket.Deadline) {
 		return nil
 	}
-	refusal := newRefusal(refuser.CodeNoUpstream, "the limits of all upstreams of the request are reached")
+	refusal := newRefusal(refuser.CodeNoUpstream, limitsReached)
 	refusal.RetryAt = s.config.RetryTime(need, at)
 	return refusal
 }
@@ -54,7 +57,14 @@
 	if config.LimitEnd == nil {
 		return
 	}
-	if at, limited := config.LimitEnd(e.need, 0); limited {
-		refusal.RetryAt = config.RetryTime(e.need, at)
+	at, limited := config.LimitEnd(e.need, 0)
+	if !limited {
+		return
+	}
+	refusal.RetryAt = config.RetryTime(e.need, at)
+	if refusal.Code == refuser.CodeDeadline && config.Now().Before(e.deadline) {
+		// Only the time to wait for limits has passed.
+		refusal.Code = refuser.CodeNoUpstream
+		refusal.Detail = limitsReached
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -42,6 +42,8 @@
 	Claim func(ctx context.Context, request claimer.Request) (*claimer.Claim, error)
 	// AwaitService chooses an instance of a plain service; it may wait for some milliseconds.
 	AwaitService func(ctx context.Context, service string) (*router.Choice, bool)
+	// Limited reports whether all upstreams that could run a request have stated limits; nil means that there are none.
+	Limited func(need router.Need) bool
 	// LimitEnd reports whether all upstreams that could run a request have used up the limits that they state, and
 	// returns when a request could be sent with a number of requests ahead of it. nil means that there are no limits.
 	LimitEnd func(need router.Need, ahead int) (time.Time, bool)
