Time limits by the clock of requests

Found by reading the fix: the pacer counted by the clock since boot, forwarder, router and server by time.Now. After a jump of the machine's time of day the two differ by the jump: an answer without a limit would have ended a limit that a later one had stated, or never ended it, and Retry-After would have been off by as much. The pacer counts by time.Now as well; that clock stops while the machine is suspended, which the rule excuses for that machine.

--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -89,7 +89,6 @@
 		Listed:      func(upstream pacer.Upstream) bool { return i.router.Lists(upstream) },
 		Changed:     i.dispatchWaiting,
 		Denied:      i.refuseLimited,
-		Now:         i.now,
 		Log:         i.log,
 	})
 }
--- a/internal/pacer/config.go
+++ b/internal/pacer/config.go
@@ -37,7 +37,8 @@
 	// Denied is called after Changed when an upstream's limit leaves no room for some time, so that requests that
 	// would wait in vain can be refused. It must not block; may be nil.
 	Denied func()
-	// Now is the clock; it must advance while the machine is suspended. nil means time.Now.
+	// Now is the clock, which must be that of the requests: their times are compared with those of limits. nil
+	// means time.Now.
 	Now func() time.Time
 	// Random returns a random number in [0, 1); nil means math/rand/v2.
 	Random func() float64
