--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,8 +26,9 @@
 				s.press(300*time.Millisecond, "u", rate, s.all()...)
 				told := time.Now()
 				s.press(9*time.Second, "u", rate, s.all()...)
+				messages, bytes := s.traffic()
 				t.Logf("instances=%d rate=%v most=%d arrived=%d messages=%d bytes=%d",
-					instances, rate, s.most("u", told), len(s.arrivals["u"])-instances, s.messages, s.bytes)
+					instances, rate, s.most("u", told), len(s.arrivals["u"])-instances, messages, bytes)
 				is.True(s.most("u", told) <= allowed(rate))
 				// The upstream gets what it takes, but for the permits that the last window has not used.
 				is.True(float64(len(s.arrivals["u"])-instances) >= 0.8*rate*9-2)
@@ -197,7 +199,8 @@
 		p := s.pacers[0]
 		is.True(p.AwaitPermit(context.Background(), upstream("u"))) // no limit
 		s.press(time.Second, "u", 2, 0)
-		go s.press(3*time.Second, "u", 2, 0)
+		var others sync.WaitGroup
+		others.Go(func() { s.press(3*time.Second, "u", 2, 0) })
 		time.Sleep(100 * time.Millisecond)
 		began := time.Now()
 		is.True(p.AwaitPermit(context.Background(), upstream("u")))
@@ -205,7 +208,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
 		defer cancel()
 		is.True(!p.AwaitPermit(ctx, upstream("u")))
-		time.Sleep(3 * time.Second)
+		others.Wait()
 		is.True(s.most("u", time.Time{}) <= allowed(2))
 	})
 }
--- a/internal/pacer/testsite_test.go
+++ b/internal/pacer/testsite_test.go
@@ -181,6 +181,13 @@
 	return most
 }
 
+// traffic returns the number of requests for permits and the size of their payload, in bytes.
+func (s *testSite) traffic() (messages, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.messages, s.bytes
+}
+
 // all returns the numbers of all instances.
 func (s *testSite) all() []int {
 	numbers := make([]int, len(s.pacers))
