--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -44,6 +44,8 @@
 	hashes map[string]uint64
 	// failures counts the failures since the store last answered.
 	failures int
+	// answered is when the store last answered.
+	answered time.Time
 }
 
 // New returns a Follower that has read nothing yet.
@@ -145,7 +147,9 @@
 // recovered records that the store answered, and reports whether it had failed before.
 func (f *Follower) recovered() bool {
 	failures := f.failures
+	lost := f.sinceAnswer()
 	f.failures = 0
+	f.answered = f.config.Now()
 	if failures == 0 {
 		return false
 	}
@@ -153,10 +157,19 @@
 		"prefix":   f.config.Prefix,
 		"revision": f.revision,
 		"failures": failures,
+		"after":    lost,
 	}).Info("store.regained")
 	return true
 }
 
+// sinceAnswer returns the time since the store last answered, or zero if it never did.
+func (f *Follower) sinceAnswer() time.Duration {
+	if f.answered.IsZero() {
+		return 0
+	}
+	return f.config.Now().Sub(f.answered)
+}
+
 // deliver passes an update on, without irrelevant entries.
 func (f *Follower) deliver(asOf time.Time, update Update) {
 	f.revision = max(f.revision, update.Revision)
@@ -214,10 +227,12 @@
 	}
 	f.failures++
 	metrics.GetOrCreateCounter(`buckthorngap_follow_failures_total`).Inc()
-	if f.failures == 1 {
+	if f.failures&(f.failures-1) == 0 { // bounds the log: the first failure and each doubling
 		f.config.Log.WithFields(logrus.Fields{
 			"prefix":   f.config.Prefix,
 			"revision": f.revision,
+			"failures": f.failures,
+			"after":    f.sinceAnswer(),
 			"error":    err,
 		}).Warn("store.lost")
 	}
