--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -298,14 +298,20 @@
 	return readers
 }
 
-// testFleet runs a scenario on 60 instances in two failure domains, and checks that no instance
-// received an older entry after a newer one.
+// testFleet runs a scenario on 60 instances in two failure domains.
 func testFleet(t *testing.T, scenario func(is *is.I, f *fleet)) {
+	t.Helper()
+	testFleetOf(t, 2, 30, scenario)
+}
+
+// testFleetOf runs a scenario on a number of failure domains with a number of instances each, and checks that no
+// instance received an older entry after a newer one.
+func testFleetOf(t *testing.T, domains, members int, scenario func(is *is.I, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
-		f := newFleet(ctx, 2, 30)
+		f := newFleet(ctx, domains, members)
 		defer func() {
 			cancel()
 			for _, n := range f.nodes {
@@ -368,6 +374,21 @@
 	})
 }
 
+// TestChangesArriveAtInstancesThatTheStoreTurnsAway guards against an instance that stays at an old configuration while
+// its neighbours have a newer one: all instances of one small failure domain, and the readers of large ones.
+func TestChangesArriveAtInstancesThatTheStoreTurnsAway(t *testing.T) {
+	for _, members := range []int{2, 30} {
+		t.Run(fmt.Sprint(members), func(t *testing.T) {
+			testFleetOf(t, 3, members, func(is *is.I, f *fleet) {
+				for _, n := range append(f.preferredReaders(), f.nodes[:2]...) {
+					n.storeCut = n.domain == "d0" || members > 2
+				}
+				is.True(f.run(12*time.Second) < maxDelay)
+			})
+		})
+	}
+}
+
 // TestCompactedHistoryIsReadAgain guards against instances that stop following, or keep reading the
 // complete state, after the store compacted its history.
 func TestCompactedHistoryIsReadAgain(t *testing.T) {
