Follow the store through other instances while it does not answer

What callers saw: an instance handled requests by an old configuration while the instances beside it had the new one. Cause: an instance that reads the store for itself (all in failure domains of up to four, the two readers of larger ones) had no other source. The store may turn some machines away, with 503, 429, resets or silence, and serve the others. Class of fault: one source for what many know.

While a call to the store is overdue or has failed, the follower asks other instances every 400 ms, at most three at a time, first in its failure domain and then in the others, and takes what they know beyond its own revision, whatever its age: an old state may still be newer. The store is tried as before; its answer counts as older if an instance has passed on a newer one meanwhile. It costs nothing while the store answers.

Ruled out: spreading the configuration alone with heartbeats, which leaves such an instance with old upstreams.

--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -40,9 +40,10 @@
 		Log:             f.log.WithField("list", "instances"),
 	})
 	f.relayer = relayer.New(relayer.Config{
-		Self:  f.self.Name,
-		Peers: f.domainPeers,
-		Cores: f.cores,
+		Self:   f.self.Name,
+		Peers:  f.domainPeers,
+		Others: f.otherPeers,
+		Cores:  f.cores,
 		Call: func(ctx context.Context, to messenger.Peer, topic string, payload []byte) ([]byte, error) {
 			return f.messenger.Call(ctx, to, topic, payload)
 		},
@@ -52,15 +53,16 @@
 		Log:          f.log,
 	})
 	f.follower = follower.New(follower.Config{
-		Store:         f.store,
-		WatchInterval: f.relayer.ReadInterval,
-		FetchRelayed:  f.relayer.Fetch,
-		Observe:       f.relayer.Record,
-		Relevant:      f.relevant,
-		ComparedPart:  f.compared,
-		Apply:         f.apply,
-		Now:           f.now,
-		Log:           f.log,
+		Store:          f.store,
+		WatchInterval:  f.relayer.ReadInterval,
+		FetchRelayed:   f.relayer.Fetch,
+		FetchFromPeers: f.relayer.FetchFromPeers,
+		Observe:        f.relayer.Record,
+		Relevant:       f.relevant,
+		ComparedPart:   f.compared,
+		Apply:          f.apply,
+		Now:            f.now,
+		Log:            f.log,
 	})
 }
 
@@ -79,8 +81,22 @@
 }
 
 // domainPeers returns the other live instances of this instance's failure domain.
-func (f *Front) domainPeers() []messenger.Peer {
-	members := f.tracker.Alive(f.settings.Domain)
+func (f *Front) domainPeers() []messenger.Peer { return f.livePeers(f.settings.Domain) }
+
+// otherPeers returns the live instances of the other failure domains.
+func (f *Front) otherPeers() []messenger.Peer {
+	var peers []messenger.Peer
+	for _, domain := range f.settings.Limits.Domains {
+		if domain != f.settings.Domain {
+			peers = append(peers, f.livePeers(domain)...)
+		}
+	}
+	return peers
+}
+
+// livePeers returns the other live instances of a failure domain.
+func (f *Front) livePeers(domain string) []messenger.Peer {
+	members := f.tracker.Alive(domain)
 	peers := make([]messenger.Peer, 0, len(members))
 	for _, member := range members {
 		peers = append(peers, member.Peer)
--- a/internal/follower/config.go
+++ b/internal/follower/config.go
@@ -21,6 +21,9 @@
 	// FetchRelayed requests the changes after a revision, or the complete state, from other instances.
 	// It returns false if the store has to be read instead; nil means always.
 	FetchRelayed func(ctx context.Context, after storer.Revision, complete bool) (Relayed, bool)
+	// FetchFromPeers requests the changes after a revision, or the complete state, from any instance that knows more
+	// than this one, while the store does not answer this instance. It returns false if none does; nil means never.
+	FetchFromPeers func(ctx context.Context, after storer.Revision, complete bool) (Relayed, bool)
 	// Observe is called with each update and the time at which the store returned it, even if the
 	// update has no changes; may be nil.
 	Observe func(update Update, asOf time.Time)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -26,6 +26,11 @@
 	// maxBackoff bounds the pause after further failures, so that the recovery of the store is
 	// noticed within a second.
 	maxBackoff = 800 * time.Millisecond
+	// overdue is how long a call to the store may take before other instances are asked. A watch without changes is
+	// answered after half a second.
+	overdue = 800 * time.Millisecond
+	// peerInterval is the time between two queries of other instances while the store does not answer.
+	peerInterval = 400 * time.Millisecond
 )
 
 // hashSeed is the seed of the hashes of entries. It may differ between processes, since the hashes
@@ -46,6 +51,8 @@
 	failures int
 	// answered is when the store last answered.
 	answered time.Time
+	// fromPeers is set if other instances have passed on updates since the store last answered.
+	fromPeers bool
 }
 
 // New returns a Follower that has read nothing yet.
@@ -59,6 +66,9 @@
 	if config.FetchRelayed == nil {
 		config.FetchRelayed = func(context.Context, storer.Revision, bool) (Relayed, bool) { return Relayed{}, false }
 	}
+	if config.FetchFromPeers == nil {
+		config.FetchFromPeers = func(context.Context, storer.Revision, bool) (Relayed, bool) { return Relayed{}, false }
+	}
 	if config.Observe == nil {
 		config.Observe = func(Update, time.Time) {}
 	}
@@ -98,30 +108,85 @@
 // or by waiting there for changes.
 func (f *Follower) step(ctx context.Context) error {
 	if relayed, ok := f.config.FetchRelayed(ctx, f.revision, !f.hasState); ok {
-		f.applyRelayed(relayed)
+		f.applyRelayed(relayed, f.recovered())
 		return nil
 	}
-	requested := f.config.Now()
-	if !f.hasState {
-		changes, err := f.config.Store.Scan(ctx, f.config.Prefix)
-		if err != nil {
-			return err
+	r := &read{
+		store:     f.config.Store,
+		prefix:    f.config.Prefix,
+		after:     f.revision,
+		complete:  !f.hasState,
+		requested: f.config.Now(),
+		done:      make(chan struct{}),
+	}
+	go r.run(ctx)
+	wait := overdue
+	if f.failures > 0 {
+		wait = peerInterval
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-r.done:
+			return f.applyRead(r)
+		case <-timer.C:
+			f.fetchFromPeers(ctx)
+			timer.Reset(peerInterval)
 		}
-		f.hasState = true
-		f.applyAnswer(requested, changes, true)
-		return nil
 	}
-	changes, err := f.config.Store.Watch(ctx, f.config.Prefix, f.revision)
-	if err != nil {
-		return err
+}
+
+// fetchFromPeers applies what other instances know beyond this one's state. It does not count as an answer of the store.
+func (f *Follower) fetchFromPeers(ctx context.Context) {
+	relayed, ok := f.config.FetchFromPeers(ctx, f.revision, !f.hasState)
+	if !ok {
+		return
+	}
+	metrics.GetOrCreateCounter(`buckthorngap_follow_peers_total`).Inc()
+	if !f.fromPeers {
+		f.fromPeers = true
+		f.config.Log.WithFields(logrus.Fields{
+			"prefix":   f.config.Prefix,
+			"former":   f.revision,
+			"revision": relayed.Update.Revision,
+			"failures": f.failures,
+		}).Info("store.relayed")
 	}
-	f.applyAnswer(f.config.Now(), changes, false)
+	f.applyRelayed(relayed, false)
+}
+
+// applyRead applies the result of a read. An answer that is older than what other instances have passed on meanwhile
+// counts as an update without changes.
+func (f *Follower) applyRead(r *read) error {
+	if r.err != nil {
+		return r.err
+	}
+	update := Update{
+		Complete: r.complete,
+		Entries:  r.changes.Entries,
+		Deleted:  r.changes.Deleted,
+		Revision: r.changes.Revision,
+	}
+	asOf := f.config.Now()
+	if r.complete {
+		asOf = r.requested
+	}
+	if f.hasState && update.Revision < f.revision {
+		update = Update{
+			Revision: f.revision,
+		}
+		asOf = r.requested
+	}
+	f.hasState = true
+	update.Recovered = f.recovered()
+	f.deliver(asOf, update)
 	return nil
 }
 
 // applyRelayed applies an update from another instance. One that is older than this instance's
-// state counts as an update without changes.
-func (f *Follower) applyRelayed(relayed Relayed) {
+// state counts as an update without changes. Recovered is set if the store had failed before.
+func (f *Follower) applyRelayed(relayed Relayed, recovered bool) {
 	update := relayed.Update
 	if update.Revision < f.revision {
 		update = Update{
@@ -129,27 +194,17 @@
 		}
 	}
 	f.hasState = f.hasState || update.Complete
-	update.Recovered = f.recovered() || update.Recovered
+	update.Recovered = recovered || update.Recovered
 	f.deliver(relayed.AsOf, update)
 }
 
-// applyAnswer applies an answer of the store.
-func (f *Follower) applyAnswer(asOf time.Time, changes storer.Changes, complete bool) {
-	f.deliver(asOf, Update{
-		Complete:  complete,
-		Entries:   changes.Entries,
-		Deleted:   changes.Deleted,
-		Revision:  changes.Revision,
-		Recovered: f.recovered(),
-	})
-}
-
 // recovered records that the store answered, and reports whether it had failed before.
 func (f *Follower) recovered() bool {
 	failures := f.failures
 	lost := f.sinceAnswer()
 	f.failures = 0
 	f.answered = f.config.Now()
+	f.fromPeers = false
 	if failures == 0 {
 		return false
 	}
@@ -237,5 +292,8 @@
 		}).Warn("store.lost")
 	}
 	backoff := min(initialBackoff<<min(f.failures-1, 4), maxBackoff)
-	waiter.Pause(ctx, backoff/2+rand.N(backoff/2))
+	for backoff = backoff/2 + rand.N(backoff/2); backoff > 0 && ctx.Err() == nil; backoff -= peerInterval {
+		f.fetchFromPeers(ctx)
+		waiter.Pause(ctx, min(backoff, peerInterval))
+	}
 }
--- a/internal/relayer/config.go
+++ b/internal/relayer/config.go
@@ -14,6 +14,9 @@
 	Self string
 	// Peers returns the other live instances of this instance's failure domain.
 	Peers func() []messenger.Peer
+	// Others returns the live instances of other failure domains. They are queried while the store does not answer this
+	// instance; nil means none.
+	Others func() []messenger.Peer
 	// Cores returns the processor time that an instance may use, in cores, or zero if it is unknown. Larger instances
 	// read for smaller ones. nil means that it is unknown for all.
 	Cores func(instance string) float64
@@ -37,6 +40,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Others == nil {
+		c.Others = func() []messenger.Peer { return nil }
+	}
 	if c.Cores == nil {
 		c.Cores = func(string) float64 { return 0 }
 	}
--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -205,8 +205,13 @@
 		Gate: n.gate,
 	}
 	r := relayer.New(relayer.Config{
-		Self:  name,
-		Peers: func() []messenger.Peer { return f.alive(n) },
+		Self: name,
+		Peers: func() []messenger.Peer {
+			return f.alive(n, func(other *node) bool { return other.domain == n.domain })
+		},
+		Others: func() []messenger.Peer {
+			return f.alive(n, func(other *node) bool { return other.domain != n.domain })
+		},
 		Cores: func(instance string) float64 {
 			if isLarge(instance) {
 				return 0.8
@@ -221,12 +226,13 @@
 	networkNode.Handlers = r.Handlers()
 	f.network.Join(networkNode)
 	entriesFollower := follower.New(follower.Config{
-		Store:         f.store.forNode(n),
-		WatchInterval: r.ReadInterval,
-		FetchRelayed:  r.Fetch,
-		Observe:       r.Record,
-		Apply:         n.apply,
-		Log:           log,
+		Store:          f.store.forNode(n),
+		WatchInterval:  r.ReadInterval,
+		FetchRelayed:   r.Fetch,
+		FetchFromPeers: r.FetchFromPeers,
+		Observe:        r.Record,
+		Apply:          n.apply,
+		Log:            log,
 	})
 	f.group.Go(func() {
 		time.Sleep(time.Duration(index) * time.Millisecond)
@@ -234,11 +240,11 @@
 	})
 }
 
-// alive returns the other instances of a node's failure domain that it considers alive.
-func (f *fleet) alive(self *node) []messenger.Peer {
+// alive returns the other instances that a node considers alive and for which included returns true.
+func (f *fleet) alive(self *node, included func(*node) bool) []messenger.Peer {
 	var peers []messenger.Peer
 	for _, n := range f.nodes {
-		if n == self || n.domain != self.domain || !n.killed.IsZero() && time.Since(n.killed) > deathDelay {
+		if n == self || !included(n) || !n.killed.IsZero() && time.Since(n.killed) > deathDelay {
 			continue
 		}
 		peers = append(peers, n.peer)
--- a/internal/relayer/history.go
+++ b/internal/relayer/history.go
@@ -35,7 +35,9 @@
 	if update.Revision < h.revision {
 		return
 	}
-	h.asOf = asOf
+	if asOf.After(h.asOf) {
+		h.asOf = asOf
+	}
 	if update.Complete {
 		h.entries = make(map[string]storer.Entry, len(update.Entries))
 		h.updates = nil
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -136,18 +136,39 @@
 // recordFailure starts the cooldown of a reader that failed.
 func (r *Relayer) recordFailure(peer messenger.Peer, err error) {
 	metrics.GetOrCreateCounter(`buckthorngap_relay_failures_total`).Inc()
-	r.mu.Lock()
-	r.cooldowns[peer.Name] = r.config.Now().Add(failureCooldown)
-	r.mu.Unlock()
+	r.coolDown(peer)
 	r.config.Log.WithFields(logrus.Fields{
 		"peer":  peer.Name,
 		"error": err,
 	}).Info("relay.failed")
 }
 
+// coolDown excludes an instance from queries for a while.
+func (r *Relayer) coolDown(peer messenger.Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cooldowns[peer.Name] = r.config.Now().Add(failureCooldown)
+}
+
 // query requests an update from one reader. It returns *Stale if the reader's state is too old
 // or does not satisfy the request.
 func (r *Relayer) query(ctx context.Context, peer messenger.Peer, after storer.Revision, complete bool) (follower.Relayed, error) {
+	relayed, age, err := r.call(ctx, peer, after, complete)
+	if err != nil {
+		return follower.Relayed{}, err
+	}
+	if age > r.maxAge() {
+		return follower.Relayed{}, &Stale{
+			Age:      age,
+			Revision: relayed.Update.Revision,
+		}
+	}
+	return relayed, nil
+}
+
+// call requests an update from an instance, and returns it with the age of that instance's state. It returns *Stale if
+// the instance has no state, states an impossible age or does not satisfy the request.
+func (r *Relayer) call(ctx context.Context, peer messenger.Peer, after storer.Revision, complete bool) (follower.Relayed, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	payload, err := proto.Marshal(&relayerpb.Ask{
@@ -156,23 +177,23 @@
 		Renewals: r.config.Renewals(),
 	})
 	if err != nil {
-		return follower.Relayed{}, err
+		return follower.Relayed{}, 0, err
 	}
 	sent := r.config.Now()
 	answer, err := r.config.Call(ctx, peer, Topic, payload)
 	if err != nil {
-		return follower.Relayed{}, err
+		return follower.Relayed{}, 0, err
 	}
 	message := &relayerpb.Told{}
 	if err := proto.Unmarshal(answer, message); err != nil {
-		return follower.Relayed{}, &Malformed{
+		return follower.Relayed{}, 0, &Malformed{
 			Cause: err,
 		}
 	}
 	age := time.Duration(message.GetAge())
 	update := decode(message)
-	if update.Revision == 0 || age < 0 || age > r.maxAge() || complete && (!update.Complete || update.Revision < after) {
-		return follower.Relayed{}, &Stale{
+	if update.Revision == 0 || age < 0 || complete && (!update.Complete || update.Revision < after) {
+		return follower.Relayed{}, 0, &Stale{
 			Age:      age,
 			Revision: update.Revision,
 		}
@@ -180,7 +201,7 @@
 	return follower.Relayed{
 		Update: update,
 		AsOf:   sent.Add(-age),
-	}, nil
+	}, age, nil
 }
 
 // maxAge is the maximum age of a reader's state.
