Read the complete state when the changes do not fit into an answer

An instance that missed many large configurations asked for all events since its revision, dropped the answer as larger than 8 MB and asked for the same again, until the store dropped that history (20 s on the users' sites). Class of fault as with dead connections: a retry that meets the condition of the failure again.

After such an answer the complete state, which comes in pages of 1 MB, is read. TestWatchThatIsTooLargeIsNotRepeated failed before: *storer.Unavailable, the same at each try.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -265,8 +265,8 @@
 	update.Entries = changed
 }
 
-// backOff handles a failure and waits before the next try. A compacted history does not count as a
-// failure of the store: the complete state is read again at once.
+// backOff handles a failure and waits before the next try. If the store no longer has the changes, the complete state is
+// read next. That alone does not count as a failure of the store, and the read is not delayed.
 func (f *Follower) backOff(ctx context.Context, err error) {
 	var compacted *storer.Compacted
 	if errors.As(err, &compacted) {
@@ -275,6 +275,9 @@
 			"after":  compacted.After,
 		}).Info("store.compacted")
 		f.hasState = false
+	}
+	var unavailable *storer.Unavailable
+	if compacted != nil && !errors.As(err, &unavailable) {
 		return
 	}
 	if ctx.Err() != nil {
