Read the complete state of a store that went back

A store at an earlier revision than an instance has read has lost writes. The watch waited for revisions above the one that the instance knew, and so missed every change below it until the store had caught up. The configuration in force still never goes back: only a higher version is put in force.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -178,6 +178,9 @@
 		}
 		asOf = r.requested
 	}
+	if r.complete {
+		f.revision = update.Revision // the store may have gone back
+	}
 	f.hasState = true
 	update.Recovered = f.recovered()
 	f.deliver(asOf, update)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -139,3 +139,26 @@
 		is.True(len(s.watchTimes) <= 21)
 	})
 }
+
+// TestChangesArriveFromAStoreThatWentBack guards against a follower that waits for revisions above the one that the store
+// had before it lost its last writes, and misses the changes below.
+func TestChangesArriveFromAStoreThatWentBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scriptedStore{
+			scan: storer.Changes{
+				Revision: 5,
+			},
+			watches: []func() (storer.Changes, error){
+				changed("a", 9),
+				func() (storer.Changes, error) { return storer.Changes{}, &storer.Compacted{} },
+				changed("a", 6),
+			},
+		}
+		updates := follow(s, 0, time.Second)
+		is.Equal(s.scans, 2)
+		is.Equal(s.afters, []storer.Revision{5, 9, 5, 6}) // it continues at the revision to which the store went back
+		is.Equal(len(updates), 4)
+		is.Equal(len(updates[3].Entries), 1)
+	})
+}
