Drop the unused connections of the binding once a call has failed

A failed call now closes the unused connections, unless its caller gave up. The stand-in of the platform has a new outage, stuck: connections used before it stay unanswered while new ones work. Not changed: a watch there waits up to 32 s on a silent connection; its changes come from other instances meanwhile.

--- a/internal/binder/binding_test.go
+++ b/internal/binder/binding_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -215,3 +216,25 @@
 	is.True(errors.As(err, &overBudget))
 	is.Equal(platform.Counts().Writes, int64(1))
 }
+
+// TestReadsSucceedWhenConnectionsGoSilentForGood guards against a read whose every attempt takes another of the
+// connections that have gone silent.
+func TestReadsSucceedWhenConnectionsGoSilentForGood(t *testing.T) {
+	is := is.New(t)
+	platform, store := start(t, binder.Config{
+		Timeout: 200 * time.Millisecond,
+	})
+	platform.SetFaults(platformer.Faults{
+		Milliseconds: 50,
+	})
+	var calls sync.WaitGroup
+	for range 8 {
+		calls.Go(func() { _, _ = store.List(t.Context(), "") })
+	}
+	calls.Wait()
+	platform.SetFaults(platformer.Faults{
+		Outage: platformer.OutageStuck,
+	})
+	_, err := store.List(t.Context(), "")
+	is.NoErr(err)
+}
--- a/internal/binder/call.go
+++ b/internal/binder/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -124,11 +125,13 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := b.config.Client.Do(request)
 	if err != nil {
+		b.dropUnused(ctx)
 		return result, c.unavailable(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
+		b.dropUnused(ctx)
 		return result, c.unavailable(err)
 	}
 	if response.StatusCode != http.StatusOK {
@@ -140,6 +143,14 @@
 	return result, nil
 }
 
+// dropUnused closes the unused connections after a failure, unless the caller gave up: what made one connection silent has
+// often made silent those beside it.
+func (b *binding) dropUnused(ctx context.Context) {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		b.config.Client.CloseIdleConnections()
+	}
+}
+
 // withoutRewind hides the reader's type, from which net/http would set GetBody and so be able to rewind the
 // body.
 func withoutRewind(content []byte) io.Reader {
--- a/internal/emulator/platformer/calls.go
+++ b/internal/emulator/platformer/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -83,14 +84,18 @@
 	}
 	faults := p.faults
 	allowed := limit.AllowN(p.config.Now(), 1)
-	if faults.Outage != OutageNone || !allowed {
+	stuck := p.stuck(r)
+	p.connections.add(r.RemoteAddr)
+	if faults.Outage == OutageHang || faults.Outage == OutageRefuse || stuck || !allowed {
 		p.counts.Refused++
 	}
 	p.mutex.Unlock()
 
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	switch {
-	case faults.Outage == OutageHang:
+	case faults.Outage == OutageHang, stuck:
+		// The HTTP server detects a closed connection only after the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return false
 	case faults.Outage == OutageRefuse:
@@ -107,6 +112,11 @@
 	return pause(r, toDuration(faults.Milliseconds))
 }
 
+// stuck reports whether a call came on a connection that is stuck. The caller holds the lock.
+func (p *Platform) stuck(r *http.Request) bool {
+	return p.faults.Outage == OutageStuck && p.connections.stuck[r.RemoteAddr]
+}
+
 // pause waits for the delay. It reports false if the caller left before its end.
 func pause(r *http.Request, delay time.Duration) bool {
 	return delay <= 0 || waiter.Pause(r.Context(), delay)
@@ -181,9 +191,13 @@
 		p.expireLeases()
 		changes := p.state.list(request.Prefix, request.After)
 		changed := p.changed
-		outage := p.faults.Outage != OutageNone
+		outage, stuck := p.faults.Outage, p.stuck(r)
 		p.mutex.Unlock()
-		if outage {
+		switch {
+		case stuck:
+			<-r.Context().Done()
+			return
+		case outage == OutageHang || outage == OutageRefuse:
 			panic(http.ErrAbortHandler)
 		}
 		if expired || len(changes.Entries)+len(changes.Deleted) > 0 || changes.Revision < request.After {
--- a/internal/emulator/platformer/controls.go
+++ b/internal/emulator/platformer/controls.go
@@ -56,6 +56,9 @@
 	if faults.StaleInstances && !p.faults.StaleInstances {
 		p.staleRows = slices.Clone(p.roster.visible(p.config.Now()))
 	}
+	if faults.Outage == OutageStuck && p.faults.Outage != OutageStuck {
+		p.connections.begin()
+	}
 	p.faults = faults
 	p.notify()
 }
--- a/internal/emulator/platformer/faults.go
+++ b/internal/emulator/platformer/faults.go
@@ -1,6 +1,9 @@
 package platformer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // The control paths, which are exempt from faults and counts.
 const (
@@ -31,6 +34,9 @@
 	OutageRefuse Outage = "refuse"
 	// OutageHang leaves every call unanswered until its caller gives up.
 	OutageHang Outage = "hang"
+	// OutageStuck leaves the calls on connections that were used before the outage unanswered, for as long as it lasts.
+	// New connections work.
+	OutageStuck Outage = "stuck"
 )
 
 // Faults are the faults in force.
@@ -59,6 +65,27 @@
 	Kinds map[string]int64 `json:"kinds"`
 }
 
+// maxConnections limits the number of connections that are remembered for OutageStuck.
+const maxConnections = 4096
+
+// connectionLog remembers the connections, by the caller's address, that calls came on.
+type connectionLog struct {
+	seen map[string]bool
+	// stuck are the connections on which calls are not answered during OutageStuck.
+	stuck map[string]bool
+}
+
+// add records a call's connection. It forgets all if there are too many.
+func (c *connectionLog) add(remote string) {
+	if c.seen == nil || len(c.seen) >= maxConnections {
+		c.seen = map[string]bool{}
+	}
+	c.seen[remote] = true
+}
+
+// begin makes the connections seen so far stuck.
+func (c *connectionLog) begin() { c.stuck = maps.Clone(c.seen) }
+
 func toDuration(milliseconds int64) time.Duration {
 	return time.Duration(milliseconds) * time.Millisecond
 }
--- a/internal/emulator/platformer/platform.go
+++ b/internal/emulator/platformer/platform.go
@@ -45,7 +45,9 @@
 	// staleRows is the list of instances under the fault StaleInstances.
 	staleRows []storer.Instance
 	faults    Faults
-	counts    Counts
+	// connections are those that calls came on.
+	connections connectionLog
+	counts      Counts
 	// changed is closed and replaced to make waiting watches check the state again.
 	changed chan struct{}
 }
