Log the shared parts of prompts and how long a broken answer had been coming

The log could not tell which request had no byte of its answer when an engine crashed, nor which parts it had: request.aimed has the hashed names of the prompt's parts but the last, request.attempt how long the answer had been coming.

--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -43,6 +44,8 @@
 	// errorAnswer is an upstream's own error answer (status 500 and up), which is delivered if no other
 	// upstream gives a complete answer; nil if there was none.
 	errorAnswer *bufferedAnswer
+	// firstByteAt is when the first byte of the last attempt's answer arrived; zero if none did.
+	firstByteAt time.Time
 }
 
 // run makes attempts until one succeeds or no further one is allowed.
@@ -155,12 +158,21 @@
 		"status":   r.result.Status,
 		"reused":   failed.reused,
 		"unsent":   failed.unsent,
+		"begun":    r.sinceFirstByte(),
 		"final":    failed.final,
 		"detail":   failed.detail,
 		"cause":    failed.cause,
 	}).Info("request.attempt")
 }
 
+// sinceFirstByte returns the time since the first byte of the last attempt's answer, or zero if there was none.
+func (r *routing) sinceFirstByte() time.Duration {
+	if r.firstByteAt.IsZero() {
+		return 0
+	}
+	return r.forwarder.config.Now().Sub(r.firstByteAt)
+}
+
 // attempt makes one attempt.
 func (r *routing) attempt(ctx context.Context, choice *router.Choice) *failure {
 	f, c := r.forwarder, r.routed
@@ -169,6 +181,7 @@
 		repeated: r.result.Attempts > 1,
 	}
 	r.result.Status = 0
+	r.firstByteAt = time.Time{}
 	header := c.Header.Clone()
 	metadata := c.Metadata
 	metadata.Upstream = choice.Upstream
@@ -280,7 +293,8 @@
 		}
 		if n > 0 && !begun {
 			begun = true
-			r.result.FirstTokenAt = r.forwarder.config.Now()
+			r.firstByteAt = r.forwarder.config.Now()
+			r.result.FirstTokenAt = r.firstByteAt
 			r.routed.Begin(response.StatusCode, answerHeaders(response.Header), response.ContentLength)
 		}
 		if n > 0 {
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,10 +47,20 @@
 		"prompt":  e.facts.PromptTokens,
 		"answer":  e.facts.AnswerTokens,
 		"bytes":   len(e.body),
+		"parts":   formatParts(e.sharedParts()),
 		"left":    e.timeLeft(),
 	})
 }
 
+// formatParts formats the names of prompt parts for the log.
+func formatParts(names []uint64) string {
+	formatted := make([]string, len(names))
+	for i, name := range names {
+		formatted[i] = strconv.FormatUint(name, 16)
+	}
+	return strings.Join(formatted, ",")
+}
+
 // logReserved logs how many tokens were reserved from the team's limit, or why the reservation failed.
 func (e *exchange) logReserved(began time.Time, err error) {
 	fields := logrus.Fields{
--- a/internal/server/facts.go
+++ b/internal/server/facts.go
@@ -50,7 +50,7 @@
 const maxParts = 64
 
 // ParseParts parses prompt parts as in "5c1e07a2:800,91bd3f06:410", a name and a token count each. The hash of a part
-// covers the names of all parts up to it, so that equal hashes mean equal prefixes. An empty text has no parts.
+// covers the names of all parts up to it, so that equal hashes mean equal prefixes, and its Name its own name alone. An empty text has no parts.
 func ParseParts(text string) ([]router.PromptPart, bool) {
 	if text == "" {
 		return nil, true
@@ -70,6 +70,7 @@
 		hash = hashText(hash, name)
 		parts = append(parts, router.PromptPart{
 			Hash:   hash,
+			Name:   hashText(fnvOffset, name),
 			Tokens: tokens,
 		})
 	}
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -138,6 +138,19 @@
 	}
 }
 
+// sharedParts returns the names of the parts of the prompt that other requests may have, too: all but the last.
+func (e *exchange) sharedParts() []uint64 {
+	parts := e.facts.Parts
+	if len(parts) == 0 {
+		return nil
+	}
+	names := make([]uint64, len(parts)-1)
+	for i := range names {
+		names[i] = parts[i].Name
+	}
+	return names
+}
+
 // promptParts returns the parts of the prompt, with hashes that are specific to the model and adapter. A prompt without
 // stated parts counts as one part that matches no other request.
 func (e *exchange) promptParts() []router.PromptPart {
