Quarantine the part of prompts under which engines crash

What callers saw: prompts with one part in common crashed one engine after the other; sound requests beside them broke off and then found no engine. Cause: nobody remembered what was about to be answered when an engine crashed (hypothesis 1: one crash for each deadly request, at whichever instance; these routes allow one attempt, so repeats played no part). Class of fault: a failure that the request carries with it, treated as the engine's.

internal/quarantiner (docs/design/quarantine.md): a prompt without 200 ms of its answer, whose connection broke and whose engine then refuses connections, makes its parts suspect, but for the last; what an engine begins to answer is sound. Instances pass this on at once and with heartbeats. Three crashes since a part was last sound quarantine it: prompts with it, and with what all its evidence has in common, are refused as not run, with the time to come back, at arrival, when they leave the queue and before a retry. It ends after 10 minutes, sooner if the part proves sound, and is twice as long if it returns.

Tried and changed on the way: the clock since boot, which cannot be compared with the times of answers after a jump of the time of day; a beginning that all evidence shared was quarantined with a sound neighbour, until rarer parts went first.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -18,6 +18,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/lister"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/parser"
+	"github.com/buckthorngap/buckthorngap/internal/quarantiner"
 	"github.com/buckthorngap/buckthorngap/internal/queuer"
 	"github.com/buckthorngap/buckthorngap/internal/relayer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
@@ -83,11 +84,13 @@
 	adopter   *adopter.Adopter
 	upstreams *lister.Lister
 	stager    *stager.Stager
-	instances *lister.Lister
-	enlister  *enlister.Enlister
-	follower  *follower.Follower
-	relayer   *relayer.Relayer
-	probe     *dumper.Probe
+	// quarantiner finds the parts of prompts under which engines crash.
+	quarantiner *quarantiner.Quarantiner
+	instances   *lister.Lister
+	enlister    *enlister.Enlister
+	follower    *follower.Follower
+	relayer     *relayer.Relayer
+	probe       *dumper.Probe
 	// wasReady is the last readiness that was computed; a change is logged.
 	wasReady atomic.Bool
 }
@@ -115,14 +118,19 @@
 				Handle: func(from messenger.Peer, attachment []byte) { f.stager.HandleAttachment(from, attachment) },
 			},
 			f.limitAttachment(),
+			{
+				Read:   func() []byte { return f.quarantiner.Attachment() },
+				Handle: func(from messenger.Peer, attachment []byte) { f.quarantiner.HandleAttachment(from, attachment) },
+			},
 		},
 	})
+	f.wireQuarantine()
 	f.wireDuties(append(limiter.Duties(settings.Duties.Limits), stager.Duties(settings.Duties.Placements)...), f.listedInDomain)
 	f.wireAdmission()
 	f.wireFrontRequests()
 	f.wireStager()
 	f.wireProbes()
-	f.registerHandlers(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers(), f.relayer.Handlers(), f.pacer.Handlers())
+	f.registerHandlers(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers(), f.relayer.Handlers(), f.pacer.Handlers(), f.quarantiner.Handlers())
 	enlisted, err := enlister.New(enlister.Config{
 		Name:    settings.Name,
 		Domain:  settings.Domain,
@@ -195,6 +203,7 @@
 		},
 		AddDemand:          func(ticket queuer.Ticket) { f.addDemand(ticket) },
 		FinishWithdrawn:    f.config.FinishWithdrawn,
+		Quarantine:         f.quarantineFunctions(),
 		Forwarder:          f.forwarder,
 		MaxBodyBytes:       callers.Body,
 		BodyMemoryBytes:    f.config.BodyMemoryBytes,
@@ -268,6 +277,7 @@
 			"waiting":       f.queuer.Dump,
 			"routing":       f.router.Dump,
 			"pacing":        f.pacer.Dump,
+			"quarantine":    f.quarantiner.Dump,
 			"loads":         f.stager.Dump,
 			"requests":      f.server.Dump,
 		},
@@ -314,6 +324,7 @@
 		withoutError(f.limiter.Run),
 		withoutError(f.stager.Run),
 		withoutError(f.pacer.Run),
+		withoutError(f.quarantiner.Run),
 		withoutError(f.queuer.Run),
 		withoutError(f.forwarder.Run),
 		withoutError(f.refreshRouter),
--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -94,6 +94,9 @@
 	return peers
 }
 
+// allPeers returns the live instances of all failure domains.
+func (f *Front) allPeers() []messenger.Peer { return append(f.domainPeers(), f.otherPeers()...) }
+
 // livePeers returns the other live instances of a failure domain.
 func (f *Front) livePeers(domain string) []messenger.Peer {
 	members := f.tracker.Alive(domain)
--- a/internal/forwarder/routedrequest.go
+++ b/internal/forwarder/routedrequest.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/netip"
+	"time"
 
 	"github.com/buckthorngap/buckthorngap/internal/router"
 )
@@ -41,6 +43,11 @@
 	Reacquire func(upstream string) (*router.Choice, bool)
 	// ReportNotLoaded is called with an upstream that has not loaded what the request needs; may be nil.
 	ReportNotLoaded func(upstream string)
+	// ReportBegun is called once an attempt's answer has gone on for a while or is complete, with the time at which it
+	// began; nil means that nobody needs to know.
+	ReportBegun func(at time.Time)
+	// ReportBroken is called with the upstream of an attempt whose connection broke before that; may be nil.
+	ReportBroken func(upstream string, address netip.AddrPort)
 	// Check returns a refusal if the request must not be sent any more.
 	Check func() error
 	// Begin delivers the status and header of the answer. The length is that of the
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -46,6 +46,8 @@
 	errorAnswer *bufferedAnswer
 	// firstByteAt is when the first byte of the last attempt's answer arrived; zero if none did.
 	firstByteAt time.Time
+	// reportedBegun is set once the last attempt's answer was reported to have begun.
+	reportedBegun bool
 }
 
 // run makes attempts until one succeeds or no further one is allowed.
@@ -57,6 +59,7 @@
 		failed := r.attempt(ctx, choice)
 		choice.Done(routedHealth(failed))
 		if failed == nil {
+			r.reportBegun()
 			return nil
 		}
 		r.mayHaveRun = r.mayHaveRun || !failed.unsent
@@ -64,6 +67,7 @@
 			r.sentAttempts++
 		}
 		r.logFailure(choice, failed)
+		r.reportBroken(choice, failed)
 		if failed.notLoaded && r.routed.ReportNotLoaded != nil {
 			r.routed.ReportNotLoaded(choice.Upstream)
 		}
@@ -181,7 +185,7 @@
 		repeated: r.result.Attempts > 1,
 	}
 	r.result.Status = 0
-	r.firstByteAt = time.Time{}
+	r.firstByteAt, r.reportedBegun = time.Time{}, false
 	header := c.Header.Clone()
 	metadata := c.Metadata
 	metadata.Upstream = choice.Upstream
@@ -301,6 +305,9 @@
 			if err := r.routed.Write(buffer[:n]); err != nil {
 				return callerGone(err)
 			}
+			if r.sinceFirstByte() >= begunAfter {
+				r.reportBegun()
+			}
 		}
 		if err == nil {
 			continue
--- a/internal/server/enqueue.go
+++ b/internal/server/enqueue.go
@@ -76,6 +76,9 @@
 	if refusal := e.refuseIfWithdrawn(e.server.config.Snapshot()); refusal != nil {
 		return refusal
 	}
+	if refusal := e.refuseIfQuarantined(); refusal != nil {
+		return refusal
+	}
 	return context.Cause(e.request.Context())
 }
 
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -134,6 +134,9 @@
 		e.need.Tokens = e.facts.PromptTokens + e.facts.AnswerTokens
 		e.need.Parts = e.promptParts()
 		e.logResolved()
+		if refusal := e.refuseIfQuarantined(); refusal != nil {
+			return nil, refusal
+		}
 		return next(ctx, e)
 	}
 }
@@ -260,6 +263,9 @@
 	if err := e.loadMissingAdapter(ctx); err != nil {
 		return err
 	}
+	if refusal := e.refuseIfQuarantined(); refusal != nil {
+		return refusal
+	}
 	choice := e.choice
 	e.choice = nil
 	e.dispatch.sent.Store(true)
@@ -285,6 +291,8 @@
 		PickNext:        e.nextUpstream,
 		Reacquire:       func(upstream string) (*router.Choice, bool) { return e.reacquire(ctx, upstream) },
 		ReportNotLoaded: e.markMissing,
+		ReportBegun:     e.reportBegun,
+		ReportBroken:    e.reportBroken,
 		Check:           e.recheck,
 		Begin:           e.startRoutedResponse,
 		Write:           e.writeRoutedPart,
--- a/internal/server/routed_test.go
+++ b/internal/server/routed_test.go
@@ -133,6 +133,9 @@
 	once.Once = true
 	open.Open = true
 	short.Timeout = 100 * time.Millisecond
+	prompt := route("prompt")
+	prompt.Open = true
+	prompt.Targets[0].Service = "engines"
 	snapshot, err := configurator.Archive{
 		Teams: []configurator.Team{
 			{
@@ -144,8 +147,27 @@
 			{
 				Name: "desk",
 			},
+			{
+				Name: "engines",
+				Engine: &configurator.Engine{
+					Models: []string{"ledger"},
+				},
+			},
+		},
+		Models: []configurator.Model{
+			{
+				Name:    "ledger",
+				Version: "newest",
+			},
+		},
+		Versions: []configurator.Version{
+			{
+				Model:      "ledger",
+				Name:       "newest",
+				Checkpoint: "ledger",
+			},
 		},
-		Routes: []configurator.Route{once, open, short, brisk, hasty},
+		Routes: []configurator.Route{once, open, short, brisk, hasty, prompt},
 		Keys: []configurator.Key{
 			{
 				Name: "k",
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -81,6 +81,8 @@
 	CountCandidates func(need router.Need) router.CandidateCounts
 	// CountReady returns the number of engines that hold a checkpoint; nil means not known.
 	CountReady func(checkpoint string) int
+	// Quarantine has the functions for prompts that crash engines.
+	Quarantine Quarantine
 	// Forwarder sends requests to upstreams.
 	Forwarder *forwarder.Forwarder
 	// MaxBodyBytes is the size of the largest request body, in bytes.
--- a/pkg/refuser/refusal.go
+++ b/pkg/refuser/refusal.go
@@ -42,6 +42,8 @@
 	CodeStore Code = "store_unavailable"
 	// CodeStarting means that the instance does not know the configuration yet.
 	CodeStarting Code = "starting"
+	// CodeQuarantined means that the prompt has a part under which engines crashed.
+	CodeQuarantined Code = "prompt_quarantined"
 	// CodeStopping means that the instance is shutting down or the caller has disconnected.
 	CodeStopping Code = "stopping"
 )
@@ -87,6 +89,7 @@
 	CodeStore:          http.StatusServiceUnavailable,
 	CodeStarting:       http.StatusServiceUnavailable,
 	CodeStopping:       http.StatusServiceUnavailable,
+	CodeQuarantined:    http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status of the refusal, which is 500 for an unlisted code.
