Take a stream that ends inside an event as broken off

A stream may come with neither a length nor chunks and end with its connection. Class of fault: the end of a connection taken for the end of an answer.

A successful stream of events now ends only after a blank line, whatever ends it on the wire; otherwise its caller sees the connection break. One that ended with its connection right after it began is no proof that the engine lives: the engine is checked as after a broken connection.

TestStreamThatEndsInsideAnEventIsBrokenOff (four of nine cases) and TestStreamThatEndsAsItBeginsIsNoProof failed before.

--- a/internal/forwarder/begun.go
+++ b/internal/forwarder/begun.go
@@ -23,6 +23,18 @@
 	r.routed.ReportBegun(r.firstByteAt)
 }
 
+// reportEnd reports the end of a complete answer. One that ended with its connection right after it began may have been cut
+// off by a crash.
+func (r *routing) reportEnd(choice *router.Choice) {
+	if !r.undelimited {
+		r.reportBegun()
+		return
+	}
+	if !r.reportedBegun && r.routed.ReportBroken != nil {
+		r.routed.ReportBroken(choice.Upstream, choice.Address)
+	}
+}
+
 // reportBroken reports a connection that broke before the answer had begun.
 func (r *routing) reportBroken(choice *router.Choice, failed *failure) {
 	if r.routed.ReportBroken == nil || r.reportedBegun || failed.unsent || !connectionBroke(failed.cause) {
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -48,6 +50,8 @@
 	firstByteAt time.Time
 	// reportedBegun is set once the last attempt's answer was reported to have begun.
 	reportedBegun bool
+	// undelimited is set if only the end of its connection ended the last attempt's answer.
+	undelimited bool
 }
 
 // run makes attempts until one succeeds or no further one is allowed.
@@ -59,7 +63,7 @@
 		failed := r.attempt(ctx, choice)
 		choice.Done(routedHealth(failed))
 		if failed == nil {
-			r.reportBegun()
+			r.reportEnd(choice)
 			return nil
 		}
 		r.mayHaveRun = r.mayHaveRun || !failed.unsent
@@ -185,7 +189,7 @@
 		repeated: r.result.Attempts > 1,
 	}
 	r.result.Status = 0
-	r.firstByteAt, r.reportedBegun = time.Time{}, false
+	r.firstByteAt, r.reportedBegun, r.undelimited = time.Time{}, false, false
 	header := c.Header.Clone()
 	metadata := c.Metadata
 	metadata.Upstream = choice.Upstream
@@ -284,12 +288,14 @@
 	return answer.deliver(r.forwarder.newAnswerLimit(0), r.routed.Write)
 }
 
-// stream delivers an answer as it arrives, within the limits of size and line length.
+// stream delivers an answer as it arrives, within the limits of size and line length. A stream of events that ends inside an
+// event has broken off.
 func (r *routing) stream(ctx context.Context, response *http.Response) *failure {
 	buffer := streamBuffers.Get().(*[streamBuffer]byte)
 	defer streamBuffers.Put(buffer)
 	limit := r.forwarder.newAnswerLimit(r.forwarder.config.MaxEventBytes)
 	begun := false
+	end := newEventEnd(response)
 	for {
 		n, err := response.Body.Read(buffer[:])
 		if err := limit.count(buffer[:n]); err != nil {
@@ -302,6 +308,7 @@
 			r.routed.Begin(response.StatusCode, answerHeaders(response.Header), response.ContentLength)
 		}
 		if n > 0 {
+			end.add(buffer[:n])
 			if err := r.routed.Write(buffer[:n]); err != nil {
 				return callerGone(err)
 			}
@@ -312,6 +319,10 @@
 		if err == nil {
 			continue
 		}
+		if errors.Is(err, io.EOF) && !end.complete() {
+			err = io.ErrUnexpectedEOF
+		}
+		r.undelimited = !end.delimited
 		if failed := streamFailure(ctx, err, begun); failed != nil {
 			return failed
 		}
