Believe a refusal only if it is that of the request

A faulty engine may write an earlier refusal once more on a kept connection.

A refusal without an identity now counts only on a connection that served no other request, and the second try gets a connection of its own. When an answer is not that of the request, the connection is closed, as the request's own answer is still to come on it. TestRepeatedRefusalIsNotBelieved (two of three cases) and TestRefusalOfAnEarlierTryIsNotBelieved failed before.

Not changed: orders to engines have no identity in their answers; net/http closes a connection on which an answer comes unasked, but not if a request has just been written.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -37,6 +37,8 @@
 	reused bool
 	// repeated is set if the request was sent to an upstream before.
 	repeated bool
+	// newConnection is set if the attempt must not use a connection that served other requests.
+	newConnection bool
 	// answer is the metadata in the header of the answer.
 	answer AnswerMetadata
 }
@@ -90,7 +92,11 @@
 	}
 	sent := f.config.Now()
 	choice.CountSent(a.repeated)
-	response, err := f.transport.RoundTrip(request)
+	transport := f.transport
+	if a.newConnection {
+		transport = f.unkept
+	}
+	response, err := transport.RoundTrip(request)
 	if err == nil {
 		f.observe(choice, a, sent, response)
 	}
@@ -155,6 +161,13 @@
 	return failed
 }
 
+// closeConnection closes the connection of an attempt whose own answer is still to come, so that no other request gets it.
+func (a *attempt) closeConnection() {
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+}
+
 // unsent reports whether no byte of the request can have been sent, and in that case blocks later
 // writes. It must be called only after the round trip has failed.
 func (a *attempt) unsent() bool {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,8 @@
 type Forwarder struct {
 	config    Config
 	transport *http.Transport
+	// unkept opens a connection for each request.
+	unkept    *http.Transport
 	canceller *canceller
 	// echoes holds the names of upstreams that have echoed a request identity.
 	echoes sync.Map
@@ -22,10 +24,12 @@
 // New returns a Forwarder. Abandoned requests are cancelled only while Run runs.
 func New(config Config) *Forwarder {
 	config = config.withDefaults()
-	transport := newTransport(config)
+	transport, unkept := newTransport(config), newTransport(config)
+	unkept.DisableKeepAlives = true
 	return &Forwarder{
 		config:    config,
 		transport: transport,
+		unkept:    unkept,
 		canceller: newCanceller(transport),
 	}
 }
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -67,6 +67,7 @@
 		if err != nil {
 			return
 		}
+		request.RemoteAddr = conn.RemoteAddr().String()
 		_, _ = io.Copy(io.Discard, request.Body)
 		u.mu.Lock()
 		u.count++
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -185,8 +185,9 @@
 func (r *routing) attempt(ctx context.Context, choice *router.Choice) *failure {
 	f, c := r.forwarder, r.routed
 	a := &attempt{
-		id:       c.Identity,
-		repeated: r.result.Attempts > 1,
+		id:            c.Identity,
+		repeated:      r.result.Attempts > 1,
+		newConnection: r.resent, // the engine's first refusal may come once more on the connection that it came on
 	}
 	r.result.Status = 0
 	r.firstByteAt, r.reportedBegun, r.undelimited = time.Time{}, false, false
@@ -213,7 +214,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	r.result.Status = response.StatusCode
-	failed := r.handleAnswer(ctx, a.answer, response)
+	failed := r.handleAnswer(ctx, a, response)
 	if failed != nil {
 		failed.reused = a.reused
 	}
@@ -223,15 +224,23 @@
 // handleAnswer delivers an answer, or returns the failure that it represents: the answer
 // to another request, a refusal without running, one without a receipt, or an
 // upstream's own error.
-func (r *routing) handleAnswer(ctx context.Context, metadata AnswerMetadata, response *http.Response) *failure {
+func (r *routing) handleAnswer(ctx context.Context, a *attempt, response *http.Response) *failure {
 	c := r.routed
+	metadata := a.answer
 	status := response.StatusCode
 	switch {
 	case metadata.RequestID != "" && metadata.RequestID != c.Identity:
+		a.closeConnection()
 		return &failure{
 			code:   refuser.CodeUpstreamFailed,
 			detail: "the upstream sent the answer of another request",
 		}
+	case (metadata.NotRun || status == http.StatusMisdirectedRequest) && metadata.RequestID == "" && a.reused:
+		a.closeConnection()
+		return &failure{
+			code:   refuser.CodeUpstreamFailed,
+			detail: "the upstream sent a refusal that may be that of an earlier request",
+		}
 	case metadata.NotRun || status == http.StatusMisdirectedRequest:
 		return &failure{
 			code:      refuser.CodeNoUpstream,
