Let stand-ins and local play stuck connections and deadly prompts

The product's own protocol states no parts of prompts, so that an instance of local does not quarantine: its engines crash each time. TestDeadlyPromptsCrashTheEngine shows that only such prompts do it.

--- a/internal/app/local.go
+++ b/internal/app/local.go
@@ -17,6 +17,10 @@
 	// ServiceLimit is the number of requests per second that the plain service states as its limit; negative if
 	// it states none.
 	ServiceLimit float64
+	// DeadlyText makes the engines crash as they begin to answer a prompt that holds it; empty for none.
+	DeadlyText string
+	// StuckAfter is when the platform stops answering on the connections that were used until then; zero for never.
+	StuckAfter time.Duration
 }
 
 // The sizes of the local stand-ins: the number of engines, the weight store's speed in bytes a second,
@@ -36,6 +40,7 @@
 	site := &localSite{
 		output:       config.Output,
 		serviceLimit: config.ServiceLimit,
+		deadlyText:   config.DeadlyText,
 	}
 	standIns, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -46,6 +51,9 @@
 	if err != nil {
 		return err
 	}
+	if config.StuckAfter > 0 {
+		time.AfterFunc(config.StuckAfter, site.stick)
+	}
 	group, running := errgroup.WithContext(ctx)
 	group.Go(func() error { return instance.Run(running) })
 	group.Go(func() error { return site.runDemo(running, instance) })
--- a/internal/app/localsite.go
+++ b/internal/app/localsite.go
@@ -24,6 +24,9 @@
 	platform netip.AddrPort
 	// serviceLimit is the limit that the plain service states, in requests per second; negative for none.
 	serviceLimit float64
+	// deadlyText is the text of prompts under which the engines crash; empty for none.
+	deadlyText string
+	store      *platformer.Platform
 }
 
 // start starts the stand-ins and registers the upstreams with the platform's stand-in.
@@ -34,12 +37,19 @@
 		FetchesPerSecond: localWeightLoads,
 	})
 	platform := platformer.New(platformer.Config{})
+	s.store = platform
 	for k := range localEngines {
 		name := fmt.Sprintf("engine%d", k+1)
-		address, err := serveLocal(ctx, runner.New(runner.Config{
+		engine := runner.New(runner.Config{
 			Name:  name,
 			Fetch: weights.Fetch,
-		}))
+		})
+		engine.Faults().Set(faulter.Fault{
+			Kind:  faulter.Deadly,
+			Count: -1,
+			Text:  s.deadlyText,
+		})
+		address, err := serveLocal(ctx, engine)
 		if err != nil {
 			return err
 		}
@@ -75,6 +85,13 @@
 	return err
 }
 
+// stick makes the platform's stand-in stop answering on the connections that were used until now.
+func (s *localSite) stick() {
+	s.store.SetFaults(platformer.Faults{
+		Outage: platformer.OutageStuck,
+	})
+}
+
 // newInstance creates the instance, with an identity from an authority made for this run.
 func (s *localSite) newInstance(log io.Writer) (*Instance, error) {
 	settings := parser.Default()
--- a/internal/emulator/faulter/faulter.go
+++ b/internal/emulator/faulter/faulter.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,6 +34,8 @@
 	Fail Kind = "fail"
 	// Limit makes answers state a limit on the requests of all instances together. The limit is not enforced.
 	Limit Kind = "limit"
+	// Deadly makes an engine crash as it begins to answer a prompt that holds a text.
+	Deadly Kind = "deadly"
 )
 
 // headerRateLimit is the header field of the product's protocol that states a limit in requests per second.
@@ -52,6 +55,8 @@
 	Delay int `json:"delay,omitempty"`
 	// Rate is the limit that Limit states, in requests per second.
 	Rate float64 `json:"rate,omitempty"`
+	// Text is the text of Deadly.
+	Text string `json:"text,omitempty"`
 }
 
 // Duration returns Delay as a time.Duration.
@@ -105,6 +110,19 @@
 	return armed.fault, true
 }
 
+// Deadly reports whether Deadly is armed with a text that the prompt holds, and counts it.
+func (f *Faulter) Deadly(prompt string) bool {
+	f.mu.Lock()
+	armed, ok := f.faults[Deadly]
+	holds := ok && armed.fault.Text != "" && strings.Contains(prompt, armed.fault.Text)
+	f.mu.Unlock()
+	if !holds {
+		return false
+	}
+	_, ok = f.Take(Deadly)
+	return ok
+}
+
 // StateLimit adds the limit to the header of an answer if Limit is armed.
 func (f *Faulter) StateLimit(header http.Header) {
 	if fault, ok := f.Take(Limit); ok {
--- a/internal/emulator/launcher/upstreams.go
+++ b/internal/emulator/launcher/upstreams.go
@@ -37,6 +37,7 @@
 	first := command.Flag("first", "Time to the first token.").Default("20ms").Duration()
 	token := command.Flag("token", "Time between tokens.").Default("5ms").Duration()
 	lag := command.Flag("lag", "Maximum age of load reports.").Default("200ms").Duration()
+	deadly := command.Flag("deadly", "Text of prompts under which the engine crashes as it begins to answer.").String()
 	eventLag := command.Flag("event-lag", "Delay before cache events are published.").Default("500ms").Duration()
 	eventGap := command.Flag("event-gap", "Drop every n-th cache event; 0 drops none.").Default("10").Int()
 	weights := command.Flag("weights", "URL of the weight store; without it, remote checkpoints are read at the speed of the disk.").String()
@@ -71,6 +72,11 @@
 		}
 		engine := runner.New(config)
 		stateLimit(engine.Faults(), *limit)
+		engine.Faults().Set(faulter.Fault{
+			Kind:  faulter.Deadly,
+			Count: -1,
+			Text:  *deadly,
+		})
 		return l.serve(ctx, *name, *listen, engine)
 	}
 }
--- a/internal/emulator/runner/runner_test.go
+++ b/internal/emulator/runner/runner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/buckthorngap/buckthorngap/internal/emulator/faulter"
 	"github.com/buckthorngap/buckthorngap/internal/emulator/runner"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 )
@@ -95,3 +96,29 @@
 	is.NoErr(err)
 	is.Equal(gone.StatusCode, http.StatusGone)
 }
+
+// TestDeadlyPromptsCrashTheEngine guards against a stand-in that answers what it should crash under, or crashes under more.
+func TestDeadlyPromptsCrashTheEngine(t *testing.T) {
+	is := is.New(t)
+	r := runner.New(runner.Config{
+		Name:        "e1",
+		MemoryBytes: 100,
+	})
+	load := func() {
+		is.Equal(post(t, r, "/v1/models/load", `{"checkpoint":"a","bytes":60}`).Code, 202)
+		waitReady(r, 1)
+	}
+	r.Faults().Set(faulter.Fault{
+		Kind:  faulter.Deadly,
+		Count: -1,
+		Text:  "wet boots",
+	})
+	load()
+	is.Equal(post(t, r, "/v1/completions", `{"model":"a","prompt":"dry boots"}`).Code, http.StatusOK)
+	is.Equal(len(r.Report().Copies), 1)
+	func() {
+		defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+		post(t, r, "/v1/completions", `{"model":"a","prompt":"my wet boots"}`)
+	}()
+	is.Equal(len(r.Report().Copies), 0)
+}
--- a/internal/emulator/runner/stream.go
+++ b/internal/emulator/runner/stream.go
@@ -57,6 +57,10 @@
 		return
 	}
 	defer r.slots.release()
+	if r.faults.Deadly(completion.Text()) {
+		r.Die()
+		panic(http.ErrAbortHandler)
+	}
 	r.respond(w, request, s, 0)
 }
 
