--- a/internal/emulator/platformer/calls.go
+++ b/internal/emulator/platformer/calls.go
@@ -193,11 +193,11 @@
 		changed := p.changed
 		outage, stuck := p.faults.Outage, p.stuck(r)
 		p.mutex.Unlock()
-		switch {
-		case stuck:
+		if stuck {
 			<-r.Context().Done()
 			return
-		case outage == OutageHang || outage == OutageRefuse:
+		}
+		if outage.aborts() {
 			panic(http.ErrAbortHandler)
 		}
 		if expired || len(changes.Entries)+len(changes.Deleted) > 0 || changes.Revision < request.After {
--- a/internal/emulator/platformer/faults.go
+++ b/internal/emulator/platformer/faults.go
@@ -39,6 +39,9 @@
 	OutageStuck Outage = "stuck"
 )
 
+// aborts reports whether an outage ends the watches that wait.
+func (o Outage) aborts() bool { return o == OutageRefuse || o == OutageHang }
+
 // Faults are the faults in force.
 type Faults struct {
 	// Outage makes all calls fail in the given way.
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -316,14 +316,9 @@
 			r.result.FirstTokenAt = r.firstByteAt
 			r.routed.Begin(response.StatusCode, answerHeaders(response.Header), response.ContentLength)
 		}
-		if n > 0 {
-			end.add(buffer[:n])
-			if err := r.routed.Write(buffer[:n]); err != nil {
-				return callerGone(err)
-			}
-			if r.sinceFirstByte() >= begunAfter {
-				r.reportBegun()
-			}
+		end.add(buffer[:n])
+		if err := r.passOn(buffer[:n]); err != nil {
+			return callerGone(err)
 		}
 		if err == nil {
 			continue
@@ -341,3 +336,17 @@
 		return nil
 	}
 }
+
+// passOn delivers a part of a stream, and reports that the stream goes on once it has for a while.
+func (r *routing) passOn(part []byte) error {
+	if len(part) == 0 {
+		return nil
+	}
+	if err := r.routed.Write(part); err != nil {
+		return err
+	}
+	if r.sinceFirstByte() >= begunAfter {
+		r.reportBegun()
+	}
+	return nil
+}
--- a/internal/quarantiner/gossip.go
+++ b/internal/quarantiner/gossip.go
@@ -105,20 +105,9 @@
 	return nil
 }
 
-// mergeSuspect adds what another instance knows of one suspect. Ages that are impossible or too old are ignored. The
-// mutex is held.
+// mergeSuspect adds what another instance knows of one suspect. The mutex is held.
 func (q *Quarantiner) mergeSuspect(told *quarantinerpb.Suspect, now time.Time) {
-	var crashes []crashRecord
-	for _, crash := range told.GetCrashes() {
-		age := time.Duration(crash.GetAge())
-		if age < 0 || age > minTerm || len(crashes) == maxCrashes {
-			continue
-		}
-		crashes = append(crashes, crashRecord{
-			engine: crash.GetEngine(),
-			at:     now.Add(-age),
-		})
-	}
+	crashes := decodeCrashes(told.GetCrashes(), now)
 	if len(crashes) == 0 && time.Duration(told.GetLeft()) <= 0 && q.suspects[told.GetPart()] == nil {
 		return
 	}
@@ -136,6 +125,22 @@
 	s.extend(now, time.Duration(told.GetLeft()), time.Duration(told.GetTerm()))
 }
 
+// decodeCrashes converts crashes from their wire format, without those whose age is impossible or too old.
+func decodeCrashes(told []*quarantinerpb.Crash, now time.Time) []crashRecord {
+	var crashes []crashRecord
+	for _, crash := range told {
+		age := time.Duration(crash.GetAge())
+		if age < 0 || age > minTerm || len(crashes) == maxCrashes {
+			continue
+		}
+		crashes = append(crashes, crashRecord{
+			engine: crash.GetEngine(),
+			at:     now.Add(-age),
+		})
+	}
+	return crashes
+}
+
 // extend takes over a longer quarantine.
 func (s *suspect) extend(now time.Time, left, term time.Duration) {
 	if left <= 0 || left > maxTerm || term < left || term > maxTerm {
