Wait for the messages under way at the end of the relayer's fleet tests

Cause: a caller that gives up leaves its message on the emulated network, where it sleeps for its delay in a goroutine of its own; the test ended in between.

--- a/internal/relayer/changes_test.go
+++ b/internal/relayer/changes_test.go
@@ -92,8 +92,7 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newFleet(ctx, 2, 30)
-		defer f.group.Wait()
-		defer cancel()
+		defer f.end(cancel)
 		f.run(4 * time.Second)
 		for number := range 6 {
 			f.kill(f.preferredReaders()[0])
--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -323,6 +323,16 @@
 	return readers
 }
 
+// end stops the instances and waits for the messages that are still under way.
+func (f *fleet) end(cancel context.CancelFunc) {
+	cancel()
+	for _, n := range f.nodes {
+		n.gate.Thaw()
+	}
+	f.group.Wait()
+	time.Sleep(maxDelay)
+}
+
 // testFleet runs a scenario on 60 instances in two failure domains.
 func testFleet(t *testing.T, scenario func(is *is.I, f *fleet)) {
 	t.Helper()
@@ -337,13 +347,7 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newFleet(ctx, domains, members)
-		defer func() {
-			cancel()
-			for _, n := range f.nodes {
-				n.gate.Thaw()
-			}
-			f.group.Wait()
-		}()
+		defer f.end(cancel)
 		f.run(4 * time.Second) // the start
 		scenario(is, f)
 		is.True(!f.reverted)
