Count adapters that an engine's own report showed while entries lag

After an order for an adapter without an answer the engine's own report shows the adapter; a list entry written before it made the holder forget it, and the next load found a free slot that there was not. Models were protected from that (reportedUntil), adapters were not. What the engine reported itself, adapters included, now counts until entries are newer. TestAdapterOfAnOrderWithoutAnswerCountsWhileEntriesLag failed before (an adapter more than slots).

--- a/internal/stager/engine_test.go
+++ b/internal/stager/engine_test.go
@@ -254,9 +254,11 @@
 }
 
 // writeEntry has the engine write its list entry.
-func (f *fixture) writeEntry() {
+func (f *fixture) writeEntry() { f.deliverEntry(f.engine.report()) }
+
+// deliverEntry makes a list entry with the engine's state at some time known now.
+func (f *fixture) deliverEntry(report reporter.Report) {
 	f.revision++
-	report := f.engine.report()
 	report.Sequence = f.revision
 	report.Orders = 0 // entries do not contain it
 	report.Start = "1"
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -157,6 +157,30 @@
 	})
 }
 
+// TestAdapterOfAnOrderWithoutAnswerCountsWhileEntriesLag guards against an adapter that the engine's own report showed,
+// after an order without an answer, and that an older entry makes the holder forget.
+func TestAdapterOfAnOrderWithoutAnswerCountsWhileEntriesLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		is.NoErr(f.adapter("a0"))
+		earlier := f.engine.report()
+		f.engine.silent = true
+		is.True(f.adapter("a1") != nil)
+		f.engine.silent = false
+		f.engine.carryOut(f.engine.orders[len(f.engine.orders)-1])
+		is.NoErr(f.adapter("a2"))
+		f.deliverEntry(earlier)
+		time.Sleep(minAdapterIdle)
+		_ = f.adapter("a3")
+		is.True(!f.engine.overfull)
+		time.Sleep(2 * reportLag)
+		f.writeEntry()
+		is.NoErr(f.adapter("a4")) // what is shown by entries alone counts again
+		is.True(!f.engine.overfull)
+	})
+}
+
 // TestModelCountsUntilItsLoadIsDone guards against swaps that order an engine to load more
 // than its memory: entries show a model only once it is loaded, so that one being loaded could
 // be missed.
--- a/internal/stager/view.go
+++ b/internal/stager/view.go
@@ -26,9 +26,10 @@
 	entrySequence uint64
 	// held are the checkpoints that the engine reported last, each with its adapters.
 	held map[string]map[string]bool
-	// reportedUntil holds the models that the engine's own report showed, each with the time
-	// from which list entries are newer than that report.
-	reportedUntil map[string]time.Time
+	// reported are the checkpoints and adapters that the engine's own report showed last, until list entries are newer
+	// than that report.
+	reported      map[string]map[string]bool
+	reportedUntil time.Time
 	// pending are the effects of this instance's orders that list entries do not show yet.
 	pending []pendingChange
 	// requested is when the load of each adapter was last requested.
@@ -66,7 +67,7 @@
 	if v.held == nil || v.start != row.Report.Start {
 		v.start = row.Report.Start
 		v.entrySequence = 0
-		v.reportedUntil = map[string]time.Time{}
+		v.reported = nil
 		v.pending = nil
 		v.requested = map[string]time.Time{}
 		v.loadedAt = map[string]time.Time{}
@@ -88,9 +89,7 @@
 	v.busy = report.Busy
 	v.dropConfirmed(now)
 	v.sequenceUnknown = false
-	for checkpoint := range v.held {
-		v.reportedUntil[checkpoint] = now.Add(reportLag)
-	}
+	v.reported, v.reportedUntil = v.held, now.Add(reportLag)
 }
 
 // idle reports whether another swap may begin: none is under way, and the contents and the
@@ -123,16 +122,15 @@
 	})
 }
 
-// contents returns what the engine holds: what it reported, with the effects of later orders.
+// contents returns what the engine holds: what it reported itself or by its entry, with the effects of later orders.
 func (v *view) contents() map[string]map[string]bool {
 	current := make(map[string]map[string]bool, len(v.held))
-	for checkpoint := range v.reportedUntil {
-		current[checkpoint] = map[string]bool{}
-	}
-	for checkpoint, adapters := range v.held {
-		current[checkpoint] = make(map[string]bool, len(adapters))
-		for adapter := range adapters {
-			current[checkpoint][adapter] = true
+	for _, source := range []map[string]map[string]bool{v.reported, v.held} {
+		for checkpoint, adapters := range source {
+			if current[checkpoint] == nil {
+				current[checkpoint] = make(map[string]bool, len(adapters))
+			}
+			maps.Copy(current[checkpoint], adapters)
 		}
 	}
 	for _, c := range v.pending {
@@ -141,10 +139,11 @@
 	return current
 }
 
-// dropConfirmed drops the changes and reported models that entries read at the given time
-// already show.
+// dropConfirmed drops the changes and the report that entries read at the given time already show.
 func (v *view) dropConfirmed(read time.Time) {
-	maps.DeleteFunc(v.reportedUntil, func(_ string, until time.Time) bool { return !read.Before(until) })
+	if !read.Before(v.reportedUntil) {
+		v.reported = nil
+	}
 	v.pending = slices.DeleteFunc(v.pending, func(c pendingChange) bool { return !read.Before(c.shownFrom) })
 }
 
