Drop an order's effect only when the engine's entry shows it

The holder of a duty forgot the effect of its orders 4 s after them, with the next entry of the engine that it read, whatever that entry showed.

The effects, and what the engine's own report showed, are now dropped when the entry shows them; if it is due and does not, the engine's own report is read. What an engine holds has a type of its own (contents). TestOrdersAreCountedWhenEntriesComeLate failed before (an adapter more than slots); it also shows that entries in time cost no report.

--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -181,6 +181,32 @@
 	})
 }
 
+// TestOrdersAreCountedWhenEntriesComeLate guards against an entry that arrives long after it was written, as after an outage of
+// the store or through other instances, and that makes the holder forget its orders since.
+func TestOrdersAreCountedWhenEntriesComeLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, "m0")
+		written := f.engine.report()
+		for _, name := range []string{"a0", "a1", "a2"} {
+			is.NoErr(f.adapter(name))
+		}
+		time.Sleep(2 * reportLag)
+		f.deliverEntry(written)
+		is.NoErr(f.adapter("a3"))
+		is.True(!f.engine.overfull)
+		reads := f.reads()
+		f.writeEntry()
+		for _, name := range []string{"a4", "a5"} {
+			time.Sleep(2 * reportLag)
+			f.writeEntry()
+			is.NoErr(f.adapter(name))
+		}
+		is.True(!f.engine.overfull)
+		is.Equal(f.reads(), reads) // entries that show the orders need no report
+	})
+}
+
 // TestModelCountsUntilItsLoadIsDone guards against swaps that order an engine to load more
 // than its memory: entries show a model only once it is loaded, so that one being loaded could
 // be missed.
--- a/internal/stager/view.go
+++ b/internal/stager/view.go
@@ -1,7 +1,6 @@
 package stager
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -25,10 +24,10 @@
 	// entrySequence is the sequence number of the list entry that was applied last.
 	entrySequence uint64
 	// held are the checkpoints that the engine reported last, each with its adapters.
-	held map[string]map[string]bool
+	held contents
 	// reported are the checkpoints and adapters that the engine's own report showed last, until list entries are newer
 	// than that report.
-	reported      map[string]map[string]bool
+	reported      contents
 	reportedUntil time.Time
 	// pending are the effects of this instance's orders that list entries do not show yet.
 	pending []pendingChange
@@ -79,7 +78,7 @@
 	}
 	v.entrySequence = row.Report.Sequence
 	v.held = contentsOf(row.Report)
-	v.dropConfirmed(row.Received)
+	v.confirm(row.Received)
 }
 
 // applyReport updates the view from the engine's own report, which contains the sequence.
@@ -87,7 +86,7 @@
 	v.sequence = report.Orders
 	v.held = contentsOf(report)
 	v.busy = report.Busy
-	v.dropConfirmed(now)
+	v.pending = slices.DeleteFunc(v.pending, func(c pendingChange) bool { return !now.Before(c.shownFrom) })
 	v.sequenceUnknown = false
 	v.reported, v.reportedUntil = v.held, now.Add(reportLag)
 }
@@ -98,20 +97,6 @@
 	return v.loadingModel == "" && !v.busy && !v.sequenceUnknown && !now.Before(v.busyUntil)
 }
 
-// contentsOf returns the checkpoints of a report with their adapters, including adapters that
-// are still being read, since these already take memory.
-func contentsOf(report reporter.Report) map[string]map[string]bool {
-	contents := make(map[string]map[string]bool, len(report.Copies))
-	for _, loaded := range report.Copies {
-		adapters := make(map[string]bool, len(loaded.Adapters))
-		for _, adapter := range slices.Concat(loaded.Adapters, loaded.Reading) {
-			adapters[adapter] = true
-		}
-		contents[loaded.Checkpoint] = adapters
-	}
-	return contents
-}
-
 // addPending records the effect of an order that takes effect at the given time.
 func (v *view) addPending(done time.Time, checkpoint, adapter string, held bool) {
 	v.pending = append(v.pending, pendingChange{
@@ -123,28 +108,30 @@
 }
 
 // contents returns what the engine holds: what it reported itself or by its entry, with the effects of later orders.
-func (v *view) contents() map[string]map[string]bool {
-	current := make(map[string]map[string]bool, len(v.held))
-	for _, source := range []map[string]map[string]bool{v.reported, v.held} {
-		for checkpoint, adapters := range source {
-			if current[checkpoint] == nil {
-				current[checkpoint] = make(map[string]bool, len(adapters))
-			}
-			maps.Copy(current[checkpoint], adapters)
+func (v *view) contents() contents { return union(v.reported, v.held).with(v.pending) }
+
+// confirm drops the report and the changes that an entry read at the given time has to show, if it does. An entry that does
+// not was written before them, and the engine's own report has to be read.
+func (v *view) confirm(read time.Time) {
+	if !read.Before(v.reportedUntil) {
+		if v.contents().equal(union(v.held).with(v.pending)) {
+			v.reported = nil
+		} else {
+			v.sequenceUnknown = true
 		}
 	}
+	due := func(c pendingChange) bool { return !read.Before(c.shownFrom) }
+	var shown []pendingChange
 	for _, c := range v.pending {
-		c.apply(current)
+		if due(c) {
+			shown = append(shown, c)
+		}
 	}
-	return current
-}
-
-// dropConfirmed drops the changes and the report that entries read at the given time already show.
-func (v *view) dropConfirmed(read time.Time) {
-	if !read.Before(v.reportedUntil) {
-		v.reported = nil
+	if union(v.held).with(shown).equal(v.held) {
+		v.pending = slices.DeleteFunc(v.pending, due)
+		return
 	}
-	v.pending = slices.DeleteFunc(v.pending, func(c pendingChange) bool { return !read.Before(c.shownFrom) })
+	v.sequenceUnknown = true
 }
 
 // leastUsed returns the adapter with the least demand; among equals, the one whose load was
@@ -168,12 +155,3 @@
 	}
 	return v.requested[a].Before(v.requested[b])
 }
-
-// countAdapters returns the number of adapters in the contents of an engine.
-func countAdapters(current map[string]map[string]bool) int {
-	total := 0
-	for _, adapters := range current {
-		total += len(adapters)
-	}
-	return total
-}
