Count complete answers that are no streams as answered

Found by reading the diff: only streams told the quarantine that an engine had begun to answer. On a route to engines whose answers are no streams no part would ever have been sound, and three coincidental crashes would have quarantined a busy beginning. A complete answer now counts, from when its head came; one that only the end of its connection ended does not, and has the engine checked.

--- a/internal/forwarder/eventend.go
+++ b/internal/forwarder/eventend.go
@@ -16,7 +16,7 @@
 type eventEnd struct {
 	// checked is set if the answer is a successful stream of events.
 	checked bool
-	// delimited is set if something other than the end of the connection ends the answer.
+	// delimited is set if the answer is delimited.
 	delimited bool
 	// tail holds the last bytes.
 	tail []byte
@@ -26,10 +26,15 @@
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	return &eventEnd{
 		checked:   err == nil && mediaType == eventStreamType && response.StatusCode < http.StatusMultipleChoices,
-		delimited: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+		delimited: delimited(response),
 	}
 }
 
+// delimited reports whether something other than the end of the connection ends an answer.
+func delimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // add records a part of the answer.
 func (e *eventEnd) add(part []byte) {
 	e.tail = append(e.tail, part[max(0, len(part)-tailBytes):]...)
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -46,7 +46,8 @@
 	// errorAnswer is an upstream's own error answer (status 500 and up), which is delivered if no other
 	// upstream gives a complete answer; nil if there was none.
 	errorAnswer *bufferedAnswer
-	// firstByteAt is when the first byte of the last attempt's answer arrived; zero if none did.
+	// firstByteAt is when the first byte of the body of the last attempt's stream arrived, or the head of another answer;
+	// zero if none did.
 	firstByteAt time.Time
 	// reportedBegun is set once the last attempt's answer was reported to have begun.
 	reportedBegun bool
@@ -214,6 +215,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	r.result.Status = response.StatusCode
+	r.undelimited = !delimited(response)
+	if !c.Stream {
+		r.firstByteAt = f.config.Now()
+	}
 	failed := r.handleAnswer(ctx, a, response)
 	if failed != nil {
 		failed.reused = a.reused
@@ -326,7 +331,6 @@
 		if errors.Is(err, io.EOF) && !end.complete() {
 			err = io.ErrUnexpectedEOF
 		}
-		r.undelimited = !end.delimited
 		if failed := streamFailure(ctx, err, begun); failed != nil {
 			return failed
 		}
--- a/internal/forwarder/streamend_test.go
+++ b/internal/forwarder/streamend_test.go
@@ -97,3 +97,29 @@
 	is.True(!strings.Contains(got.body, "oops"))
 	is.True(!strings.Contains(got.body, "HTTP/1.1"))
 }
+
+// TestCompleteAnswersAreReported guards against engines whose answers are no streams and never count as answered.
+func TestCompleteAnswersAreReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		reply         string
+		begun, broken int
+	}{
+		"with a length":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1, 0},
+		"without a length": {"HTTP/1.1 200 OK\r\n\r\nok" + closeConnection, 0, 1},
+		"broken off":       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok" + closeConnection, 0, 1},
+		"an error":         {"HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			upstream := newRawUpstream(t, func(int, *http.Request) string { return c.reply })
+			request := newRouted()
+			request.Repeatable = false
+			begun, broken := 0, 0
+			request.ReportBegun = func(time.Time) { begun++ }
+			request.ReportBroken = func(string, netip.AddrPort) { broken++ }
+			_ = newHarness(forwarder.Config{}, upstream.address()).route(t.Context(), t, request)
+			is.Equal(begun, c.begun)
+			is.Equal(broken, c.broken)
+		})
+	}
+}
