Query other instances beside the store, not in between

Queries now run beside: the store's answer, the end of the pause and theirs are awaited together, one query at a time. TestSilentPeersDelayNoRead failed before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -53,6 +53,8 @@
 	answered time.Time
 	// fromPeers is set if other instances have passed on updates since the store last answered.
 	fromPeers bool
+	// query is the query of other instances that is under way; nil if there is none.
+	query *peerQuery
 }
 
 // New returns a Follower that has read nothing yet.
@@ -124,22 +126,55 @@
 	if f.failures > 0 {
 		wait = peerInterval
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	f.queryPeers(ctx, r.done, nil, wait)
+	<-r.done
+	return f.applyRead(r)
+}
+
+// queryPeers queries other instances at intervals, first after a delay, and applies what they know, until done is closed or
+// end fires. Queries do not delay it.
+func (f *Follower) queryPeers(ctx context.Context, done <-chan struct{}, end <-chan time.Time, delay time.Duration) {
+	next := time.NewTimer(delay)
+	defer next.Stop()
 	for {
+		var answered <-chan struct{}
+		if f.query != nil {
+			answered = f.query.done
+		}
 		select {
-		case <-r.done:
-			return f.applyRead(r)
-		case <-timer.C:
-			f.fetchFromPeers(ctx)
-			timer.Reset(peerInterval)
+		case <-done:
+			return
+		case <-end:
+			return
+		case <-ctx.Done():
+			return
+		case <-answered:
+			f.applyQuery()
+		case <-next.C:
+			f.startQuery(ctx)
+			next.Reset(peerInterval)
 		}
 	}
 }
 
-// fetchFromPeers applies what other instances know beyond this one's state. It does not count as an answer of the store.
-func (f *Follower) fetchFromPeers(ctx context.Context) {
-	relayed, ok := f.config.FetchFromPeers(ctx, f.revision, !f.hasState)
+// startQuery starts a query of other instances unless one is under way.
+func (f *Follower) startQuery(ctx context.Context) {
+	if f.query != nil {
+		return
+	}
+	f.query = &peerQuery{
+		fetch:    f.config.FetchFromPeers,
+		after:    f.revision,
+		complete: !f.hasState,
+		done:     make(chan struct{}),
+	}
+	go f.query.run(ctx)
+}
+
+// applyQuery applies what other instances know beyond this one's state. It does not count as an answer of the store.
+func (f *Follower) applyQuery() {
+	relayed, ok := f.query.relayed, f.query.ok
+	f.query = nil
 	if !ok {
 		return
 	}
@@ -298,8 +333,7 @@
 		}).Warn("store.lost")
 	}
 	backoff := min(initialBackoff<<min(f.failures-1, 4), maxBackoff)
-	for backoff = backoff/2 + rand.N(backoff/2); backoff > 0 && ctx.Err() == nil; backoff -= peerInterval {
-		f.fetchFromPeers(ctx)
-		waiter.Pause(ctx, min(backoff, peerInterval))
-	}
+	end := time.NewTimer(backoff/2 + rand.N(backoff/2))
+	defer end.Stop()
+	f.queryPeers(ctx, nil, end.C, 0)
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -162,3 +162,44 @@
 		is.Equal(len(updates[3].Entries), 1)
 	})
 }
+
+// TestSilentPeersDelayNoRead guards against a store's answer, or its return, that is noticed late because other instances are
+// queried meanwhile and do not answer.
+func TestSilentPeersDelayNoRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		unavailable := func() (storer.Changes, error) { return storer.Changes{}, &storer.Unavailable{} }
+		late := func() (storer.Changes, error) {
+			time.Sleep(overdueAnswer)
+			return changed("a", 1)()
+		}
+		s := &scriptedStore{
+			watches: []func() (storer.Changes, error){late, unavailable, unavailable, unavailable, unavailable, unavailable, changed("b", 2)},
+		}
+		began := time.Now()
+		var at []time.Duration
+		f := follower.New(follower.Config{
+			Store: s.store(),
+			FetchFromPeers: func(ctx context.Context, _ storer.Revision, _ bool) (follower.Relayed, bool) {
+				time.Sleep(time.Second)
+				return follower.Relayed{}, false
+			},
+			Apply: func(update follower.Update) {
+				if len(update.Entries) > 0 {
+					at = append(at, time.Since(began))
+				}
+			},
+			Log: quiet(),
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_ = f.Run(ctx)
+		is.Equal(len(at), 2)
+		is.Equal(at[0], overdueAnswer)
+		is.True(at[1]-at[0] <= 2400*time.Millisecond) // the pauses after five failures: 0.1, 0.2, 0.4, 0.8 and 0.8 s at most
+		time.Sleep(time.Second)
+	})
+}
+
+// overdueAnswer is a time after which other instances are queried.
+const overdueAnswer = 1200 * time.Millisecond
--- a/internal/relayer/changes_test.go
+++ b/internal/relayer/changes_test.go
@@ -85,6 +85,28 @@
 	})
 }
 
+// TestChangesArriveAfterAPause guards against instances, readers among them, that go on with what they knew before they were
+// paused, or pass it on as new.
+func TestChangesArriveAfterAPause(t *testing.T) {
+	for _, members := range []int{2, 30} {
+		t.Run(fmt.Sprint(members), func(t *testing.T) {
+			testFleetOf(t, 3, members, func(is *is.I, f *fleet) {
+				paused := append(f.preferredReaders(), f.nodes[1], f.nodes[len(f.nodes)-1])
+				for _, n := range paused {
+					n.gate.Freeze()
+					n.exempt = true
+				}
+				is.True(f.run(6*time.Second) < maxDelay)
+				for _, n := range paused {
+					n.gate.Thaw()
+					n.exempt = false
+				}
+				is.True(f.run(6*time.Second) < maxDelay)
+			})
+		})
+	}
+}
+
 // TestChangesArriveWhileReadersAreReplaced guards against changes that are lost or late while the readers are replaced one
 // after the other, and against a replacement that starts from an older state.
 func TestChangesArriveWhileReadersAreReplaced(t *testing.T) {
