Skip suspects that a crash with many parts has dropped again

Found by reading the diff: the parts of one crash may be more than the 256 suspects that are kept, 64 prompts of up to 63 shared parts. Those that came first were dropped for the later ones, and the log line about them ended the instance with a nil pointer. TestCrashUnderManyPartsIsRecorded failed before, with that panic.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -122,6 +122,9 @@
 	}
 	for part := range changed {
 		s := q.suspects[part]
+		if s == nil {
+			continue // dropped for a later part of the same crash
+		}
 		q.config.Log.WithFields(logrus.Fields{
 			"part":    formatPart(part),
 			"engine":  c.engine,
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -200,3 +200,24 @@
 		}
 	})
 }
+
+// TestCrashUnderManyPartsIsRecorded guards against an instance that ends because the prompts of one crash have more parts than
+// it keeps.
+func TestCrashUnderManyPartsIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t.Context(), 2, 4, 1)
+		defer s.end()
+		prompts := make([][]uint64, 20)
+		for i := range prompts {
+			for part := range uint64(60) {
+				prompts[i] = append(prompts[i], uint64(1000*i)+part)
+			}
+		}
+		crashUnder(s, 0, 0, prompts...)
+		for _, n := range s.nodes {
+			is.True(n.count.Load() <= maxSuspects)
+		}
+		is.True(s.nodes[0].count.Load() > 0)
+	})
+}
