--- /dev/null
+++ b/internal/server/routedconfiguration_test.go
@@ -0,0 +1,81 @@
+package server_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/buckthorngap/buckthorngap/pkg/configurator"
+)
+
+// configuration returns the configuration of a routed fixture.
+func (f *routedFixture) configuration(t *testing.T) *configurator.Snapshot {
+	t.Helper()
+	route := func(name string) configurator.Route {
+		return configurator.Route{
+			Name:   name,
+			Host:   "depot.example",
+			Prefix: "/" + name + "/",
+			Targets: []configurator.Target{
+				{
+					Service: "desk",
+					Weight:  1,
+				},
+			},
+		}
+	}
+	once, open, short, brisk := route("once"), route("open"), route("short"), route("brisk")
+	brisk.Objective = 400 * time.Millisecond
+	brisk.Priority = 2
+	hasty := route("hasty")
+	hasty.Patience = 10 * time.Millisecond
+	once.Once = true
+	open.Open = true
+	short.Timeout = 100 * time.Millisecond
+	prompt := route("prompt")
+	prompt.Open = true
+	prompt.Targets[0].Service = "engines"
+	snapshot, err := configurator.Archive{
+		Teams: []configurator.Team{
+			{
+				Name:   "crates",
+				Charge: 200,
+			},
+		},
+		Services: []configurator.Service{
+			{
+				Name: "desk",
+			},
+			{
+				Name: "engines",
+				Engine: &configurator.Engine{
+					Models: []string{"ledger"},
+				},
+			},
+		},
+		Models: []configurator.Model{
+			{
+				Name:    "ledger",
+				Version: "newest",
+			},
+		},
+		Versions: []configurator.Version{
+			{
+				Model:      "ledger",
+				Name:       "newest",
+				Checkpoint: "ledger",
+			},
+		},
+		Routes: []configurator.Route{once, open, short, brisk, hasty, prompt},
+		Keys: []configurator.Key{
+			{
+				Name: "k",
+				Team: "crates",
+				Hash: hash(secret),
+			},
+		},
+	}.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot
+}
