Compute the shared parts of a prompt once for each request

Found by reading the diff: the names of the parts were collected anew, with an allocation, at each of the four or five checks of a request, also while nothing is quarantined. They are now set where the header is read. Behaviour is unchanged.

--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -47,7 +47,7 @@
 		"prompt":  e.facts.PromptTokens,
 		"answer":  e.facts.AnswerTokens,
 		"bytes":   len(e.body),
-		"parts":   formatParts(e.sharedParts()),
+		"parts":   formatParts(e.sharedParts),
 		"left":    e.timeLeft(),
 	})
 }
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -64,6 +64,8 @@
 	routed bool
 	route  configurator.Route
 	facts  Facts
+	// sharedParts are the names of the parts of the prompt that other requests may have, too: all but the last.
+	sharedParts []uint64
 }
 
 // resources holds what a request holds until it ends.
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -24,7 +24,7 @@
 	if check == nil || e.need.Checkpoint == "" {
 		return nil
 	}
-	until, held := check(e.sharedParts())
+	until, held := check(e.sharedParts)
 	if !held {
 		return nil
 	}
@@ -35,13 +35,13 @@
 
 func (e *exchange) reportBegun(at time.Time) {
 	if report := e.server.config.Quarantine.ReportBegun; report != nil && e.need.Checkpoint != "" {
-		report(e.sharedParts(), at)
+		report(e.sharedParts, at)
 	}
 }
 
 func (e *exchange) reportBroken(engine string, address netip.AddrPort) {
 	if report := e.server.config.Quarantine.ReportBroken; report != nil && e.need.Checkpoint != "" {
-		report(engine, address, e.sharedParts())
+		report(engine, address, e.sharedParts)
 	}
 }
 
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -59,7 +59,7 @@
 		if err != nil {
 			return nil, newRefusal(refuser.CodeBadRequest, err.Error())
 		}
-		e.facts = facts
+		e.facts, e.sharedParts = facts, sharedParts(facts.Parts)
 		deadline := facts.Deadline
 		if deadline.IsZero() {
 			deadline = e.started.Add(s.config.InteractiveTimeout)
@@ -141,9 +141,8 @@
 	}
 }
 
-// sharedParts returns the names of the parts of the prompt that other requests may have, too: all but the last.
-func (e *exchange) sharedParts() []uint64 {
-	parts := e.facts.Parts
+// sharedParts returns the names of all parts of a prompt but the last.
+func sharedParts(parts []router.PromptPart) []uint64 {
 	if len(parts) == 0 {
 		return nil
 	}
