Give revisions and leases of the store the era in which they were read

What callers could see: a configuration that the store confirmed right after it came back from a copy, and that was never in force on some instances; a duty's lock replaced, or a lease renewed or ended, by an instance that no longer had it. Cause: the store's numbers name two things once it has been restored, and everything here compared them as if there were one history. Ruled out: relying on 410 and on a lower current revision, which hold only until the number has been given out again; a second field beside the revision, which each comparison could forget.

--- a/internal/relayer/stale.go
+++ b/internal/relayer/stale.go
@@ -18,5 +18,5 @@
 
 // Error implements error.
 func (e *Stale) Error() string {
-	return fmt.Sprintf("the reader's state is outdated or incomplete: revision %d, read from the store %s ago", e.Revision, e.Age)
+	return fmt.Sprintf("the reader's state is outdated or incomplete: revision %s, read from the store %s ago", e.Revision, e.Age)
 }
--- a/pkg/storer/entry.go
+++ b/pkg/storer/entry.go
@@ -1,9 +1,5 @@
 package storer
 
-// Revision is the sequence number of a write, counted over the whole store. Zero
-// means that an entry is absent.
-type Revision uint64
-
 // Entry is one key of the store with its value.
 type Entry struct {
 	// Key is the full key of the entry.
--- a/pkg/storer/errors.go
+++ b/pkg/storer/errors.go
@@ -22,7 +22,7 @@
 
 // Error implements error.
 func (e *Conflict) Error() string {
-	return fmt.Sprintf("store key %s is at revision %d", e.Key, e.Current)
+	return fmt.Sprintf("store key %s is at revision %s", e.Key, e.Current)
 }
 
 // Lapsed reports that a lease has expired or was revoked.
@@ -43,7 +43,7 @@
 
 // Error implements error.
 func (e *Compacted) Error() string {
-	return fmt.Sprintf("store no longer has the changes since revision %d", e.After)
+	return fmt.Sprintf("store no longer has the changes since revision %s", e.After)
 }
 
 // Unavailable reports that the store returned no usable answer. A write may or may
