Ignore a copy's entries of upstreams that are older than what was known

What callers could see: requests sent to an engine that was leaving or gone, since the copy from which the store came back still lists it as ready (DRAIN); an engine's models and adapters as they were before orders that it has carried out. Cause: entries are ordered by the store's revision, and all entries of a restored store have later ones. Upstreams that the copy lacks have the same time to register again as after an outage, and the first write after it always counts as a change. Logs: store.restored, upstream.outdated. Ruled out: keeping the former list until all upstreams have written again, which would keep those that died meanwhile.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -213,6 +213,7 @@
 		}
 		asOf = r.requested
 	}
+	f.markRestored(&update)
 	if r.complete {
 		f.revision = update.Revision // the store may have gone back
 	}
@@ -226,11 +227,12 @@
 // state counts as an update without changes. Recovered is set if the store had failed before.
 func (f *Follower) applyRelayed(relayed Relayed, recovered bool) {
 	update := relayed.Update
-	if update.Revision < f.revision {
+	if update.Revision < f.revision || update.Revision.Era() > f.revision.Era() && !update.Complete {
 		update = Update{
 			Revision: f.revision,
 		}
 	}
+	f.markRestored(&update)
 	f.hasState = f.hasState || update.Complete
 	update.Recovered = recovered || update.Recovered
 	f.deliver(relayed.AsOf, update)
@@ -263,6 +265,21 @@
 	return f.config.Now().Sub(f.answered)
 }
 
+// markRestored sets Restored, and logs it, if the store was restored from a copy since the last update.
+func (f *Follower) markRestored(update *Update) {
+	if f.revision == 0 || update.Revision.Era() <= f.revision.Era() {
+		return
+	}
+	update.Restored = true
+	metrics.GetOrCreateCounter(`buckthorngap_follow_restored_total`).Inc()
+	f.config.Log.WithFields(logrus.Fields{
+		"prefix":   f.config.Prefix,
+		"former":   f.revision,
+		"revision": update.Revision,
+		"entries":  len(update.Entries),
+	}).Warn("store.restored")
+}
+
 // deliver passes an update on, without irrelevant entries.
 func (f *Follower) deliver(asOf time.Time, update Update) {
 	f.revision = max(f.revision, update.Revision)
@@ -274,7 +291,8 @@
 }
 
 // filter drops irrelevant entries, and moves those that were rewritten unchanged from Entries to
-// Renewed.
+// Renewed. The first write of each entry after a restoration counts as a change, since what the copy held may have been
+// ignored.
 func (f *Follower) filter(update *Update) {
 	if update.Complete {
 		clear(f.hashes)
@@ -297,7 +315,9 @@
 			})
 			continue
 		}
-		f.hashes[entry.Key] = hash
+		if !update.Restored {
+			f.hashes[entry.Key] = hash
+		}
 		changed = append(changed, entry)
 	}
 	update.Entries = changed
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -203,3 +203,39 @@
 
 // overdueAnswer is a time after which other instances are queried.
 const overdueAnswer = 1200 * time.Millisecond
+
+// TestRestoredStoreIsReported guards against a state of a restored store that is taken for the continuation of the one
+// before, and against a first write after it that is taken for a renewal.
+func TestRestoredStoreIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &scriptedStore{
+			scan: storer.Changes{
+				Revision: 121,
+			},
+		}
+		s.watches = []func() (storer.Changes, error){
+			func() (storer.Changes, error) {
+				s.scan = storer.Changes{
+					Entries: []storer.Entry{
+						{
+							Key:      "a",
+							Revision: storer.NewRevision(1, 90),
+						},
+					},
+					Revision: storer.NewRevision(1, 106),
+				}
+				return storer.Changes{}, &storer.Compacted{}
+			},
+			changed("a", storer.NewRevision(1, 107)),
+			changed("a", storer.NewRevision(1, 108)),
+		}
+		updates := follow(s, 0, time.Second)
+		is.Equal(len(updates), 4)
+		is.True(!updates[0].Restored)
+		is.True(updates[1].Restored)
+		is.True(!updates[2].Restored)
+		is.Equal(len(updates[2].Entries), 1) // the first write
+		is.Equal(len(updates[3].Renewed), 1)
+	})
+}
--- a/internal/follower/update.go
+++ b/internal/follower/update.go
@@ -16,4 +16,7 @@
 	Revision storer.Revision
 	// Recovered is set if the store answered again after failures.
 	Recovered bool
+	// Restored is set if the store was restored from a copy since the last update. Entries, which are complete then, may be
+	// older than those of earlier updates.
+	Restored bool
 }
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -26,6 +26,8 @@
 	rows map[string]Row
 	// missing holds the time until which each upstream whose entry was deleted remains listed.
 	missing map[string]time.Time
+	// gone holds the last rows of upstreams that were removed, since a copy of the store may still have them.
+	gone map[string]goneRow
 	// graceEnd is the time until which deleted entries may be due to an outage of the store.
 	graceEnd time.Time
 	// list holds the upstreams sorted by name; nil if they changed since.
@@ -44,6 +46,7 @@
 		config:  config,
 		rows:    map[string]Row{},
 		missing: map[string]time.Time{},
+		gone:    map[string]goneRow{},
 	}
 }
 
@@ -59,7 +62,7 @@
 	now := l.config.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if update.Recovered {
+	if update.Recovered || update.Restored {
 		l.graceEnd = now.Add(l.config.ReregisterGrace)
 	}
 	var changed []string
@@ -70,7 +73,7 @@
 		}
 		name := l.name(entry.Key)
 		present[name] = true
-		if l.put(now, name, entry) {
+		if l.put(now, name, entry, update.Restored) {
 			changed = append(changed, name)
 		}
 	}
@@ -94,8 +97,8 @@
 func (l *Lister) name(key string) string { return strings.TrimPrefix(key, l.config.Prefix) }
 
 // put applies one entry and reports whether it changed the list. An entry that cannot be decoded is
-// handled as a deleted one.
-func (l *Lister) put(now time.Time, name string, entry storer.Entry) bool {
+// handled as a deleted one. An entry of a restored store is ignored if it is older than what was known.
+func (l *Lister) put(now time.Time, name string, entry storer.Entry, restored bool) bool {
 	row, err := l.config.Decode(entry)
 	if err != nil {
 		metrics.GetOrCreateCounter(`buckthorngap_list_unreadable_total`).Inc()
@@ -110,6 +113,17 @@
 	if known && old.Report.Sequence >= row.Report.Sequence {
 		return false
 	}
+	if restored && l.outdated(now, name, row) {
+		l.config.Log.WithFields(logrus.Fields{
+			"upstream": name,
+			"start":    row.Report.Start,
+			"writes":   row.Writes,
+			"known":    old.Writes,
+			"listed":   known,
+			"revision": entry.Revision,
+		}).Info("upstream.outdated")
+		return false
+	}
 	row.Instance.Name = name
 	row.Received = now
 	if old.Instance != row.Instance {
@@ -117,10 +131,21 @@
 	}
 	l.rows[name] = row
 	delete(l.missing, name)
+	delete(l.gone, name)
 	l.logChange(known, old, row)
 	return true
 }
 
+// outdated reports whether a row of a restored store is older than what is known of the upstream, which includes that it
+// has gone.
+func (l *Lister) outdated(now time.Time, name string, row Row) bool {
+	if old, known := l.rows[name]; known {
+		return row.precedes(old)
+	}
+	gone, known := l.gone[name]
+	return known && now.Before(gone.until) && (row.precedes(gone.row) || row.Report.Start == gone.row.Report.Start && row.Writes == gone.row.Writes)
+}
+
 // renew updates the revisions of entries that were rewritten unchanged.
 func (l *Lister) renew(now time.Time, renewals []follower.Renewal) {
 	for _, renewal := range renewals {
@@ -172,6 +197,7 @@
 	row := l.rows[name]
 	delete(l.rows, name)
 	delete(l.missing, name)
+	l.remember(row)
 	l.list = nil
 	l.config.Log.WithFields(logrus.Fields{
 		"upstream": row.Instance.Name,
@@ -181,6 +207,18 @@
 	}).Info("upstream.gone")
 }
 
+// remember keeps the row of an upstream that was removed, and forgets those that no copy of the store can still have.
+func (l *Lister) remember(row Row) {
+	now := l.config.Now()
+	maps.DeleteFunc(l.gone, func(_ string, gone goneRow) bool { return !now.Before(gone.until) })
+	if len(l.gone) < maxGone {
+		l.gone[row.Instance.Name] = goneRow{
+			row:   row,
+			until: now.Add(maxCopyAge),
+		}
+	}
+}
+
 // Upstreams returns the listed upstreams sorted by name.
 func (l *Lister) Upstreams() []storer.Instance {
 	l.mu.Lock()
--- a/internal/lister/lister_test.go
+++ b/internal/lister/lister_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,14 +42,19 @@
 			if string(entry.Value) == "garbage" {
 				return lister.Row{}, &undecodable{}
 			}
-			return lister.Row{
+			state, start, _ := strings.Cut(string(entry.Value), " ")
+			start, writes, _ := strings.Cut(start, " ")
+			row := lister.Row{
 				Instance: storer.Instance{
-					Leaving: string(entry.Value) == "leaving",
+					Leaving: state == "leaving",
 				},
 				Report: reporter.Report{
 					Sequence: uint64(entry.Revision),
+					Start:    start,
 				},
-			}, nil
+			}
+			row.Writes, _ = strconv.ParseUint(writes, 10, 64)
+			return row, nil
 		},
 	})
 	return f
