Keep duties with one holder when the store comes back from a copy

Cause: the record that names the epoch and the former holders was assumed to outlive everything, and a restored store to stay out for a lease. Change: epochs hold the store's era, so that they rise over restorations; a claimant that reads a record of a former era takes every member for a former holder and waits for one lease since the era was first seen; lock and record of a claim must be of one era; a holder takes its own lock from the copy over in place of waiting for the copied lease. Ruled out: only asking peers for the highest epoch, since all of them may have died; waiting always, since a living holder knows that nobody else had a term.

--- a/internal/holder/claim.go
+++ b/internal/holder/claim.go
@@ -12,8 +12,12 @@
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
-// maxReadBacks is the number of attempts to read an entry back after a write whose answer was lost.
-const maxReadBacks = 3
+const (
+	// maxReadBacks is the number of attempts to read an entry back after a write whose answer was lost.
+	maxReadBacks = 3
+	// epochBits is the number of low bits of an epoch that count the holdings within an era of the store.
+	epochBits = 24
+)
 
 // claim is one attempt to gain a duty: it takes the duty's lock under a new lease, writes its
 // record with a higher epoch, and waits until no former holder can act.
@@ -32,10 +36,12 @@
 	// writtenRevision is the revision of the record that this claim wrote; zero before that.
 	writtenRevision storer.Revision
 	epoch           uint64
-	lease           storer.LeaseID
-	deadline        time.Time
-	renewAt         time.Time
-	mark            tracker.Mark
+	// era is the era of the store in which the lock was written.
+	era      uint64
+	lease    storer.LeaseID
+	deadline time.Time
+	renewAt  time.Time
+	mark     tracker.Mark
 }
 
 // claim tries once to gain the duty. It may take as long as a former holder could still act.
@@ -161,10 +167,13 @@
 	return locked, nil
 }
 
-// canTakeOver reports whether the lock belongs to a previous incarnation of this instance none of
-// whose acts can take effect any more.
+// canTakeOver reports whether the lock is that of this instance's own last term, whose lease a restored store no longer has,
+// or belongs to a previous incarnation of this instance none of whose acts can take effect any more.
 func (c *claim) canTakeOver(lock storer.Entry) bool {
 	h := c.duty.holder
+	if string(lock.Value) == c.duty.lastIdentity {
+		return true
+	}
 	if !c.config.ActsWithinMargin(c.duty.name) || !h.isPreviousIncarnation(string(lock.Value)) {
 		return false
 	}
@@ -184,7 +193,7 @@
 	}
 	c.lease = lease.ID
 	c.extend(lease, before)
-	_, err = c.swap(ctx, storer.Swap{
+	lock, err := c.swap(ctx, storer.Swap{
 		Key:      lockKey(c.config.Self.Domain, d.name),
 		Value:    []byte(c.identity),
 		Expected: c.lockRevision,
@@ -193,6 +202,8 @@
 	if err != nil {
 		return err
 	}
+	c.era = lock.Revision.Era()
+	d.holder.observeEra(c.era, c.config.Now())
 	next := c.nextRecord()
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -204,6 +215,11 @@
 		Expected: c.revision,
 	}, c.wroteRecord)
 	c.writtenRevision = entry.Revision
+	if err == nil && entry.Revision.Era() != c.era {
+		return &claimFailed{
+			reason: "the store was restored without the lock",
+		}
+	}
 	return err
 }
 
@@ -216,8 +232,8 @@
 }
 
 // nextRecord builds the record of this claim and sets its epoch. The epoch exceeds every epoch that
-// is known here, not just the stored one, since the store may have been restored from an older
-// state.
+// is known here, not just the stored one, and every epoch of former eras, since the store may have been restored from an
+// older state.
 func (c *claim) nextRecord() record {
 	d := c.duty
 	d.lock.Lock()
@@ -229,6 +245,9 @@
 	}
 	c.record.Formers = formers
 	c.epoch = max(known.Epoch, c.record.Epoch) + 1
+	if !c.config.disabled.eraEpochs {
+		c.epoch = max(c.epoch, c.era<<epochBits+1)
+	}
 	return record{
 		Holding:  holdingOf(c.owner()),
 		Identity: c.identity,
@@ -236,6 +255,13 @@
 	}
 }
 
+// recordMayBeOld reports whether the record that was read is of a former era, so that it may lack the latest holders. A term
+// of this instance that is still running shows that there were none.
+func (c *claim) recordMayBeOld() bool {
+	state := c.duty.current()
+	return c.record.Epoch>>epochBits < c.era && (state == nil || state.check() != nil)
+}
+
 func (c *claim) owner() Owner {
 	owner := c.duty.holder.selfOwner()
 	owner.Epoch = c.epoch
@@ -321,6 +347,7 @@
 			reason: "a later claim is known",
 		}
 	}
+	d.lastIdentity = c.identity
 	former := d.term
 	if former != nil {
 		former.end(c.epoch, now)
--- a/internal/holder/config.go
+++ b/internal/holder/config.go
@@ -94,6 +94,10 @@
 	// inFlight makes a restarted instance wait until the last acts of its previous incarnation have
 	// taken effect.
 	inFlight bool
+	// eraEpochs makes every epoch exceed those of former eras of the store.
+	eraEpochs bool
+	// restoredRecord makes a claimant wait for unknown holders when the record may be that of a copy of the store.
+	restoredRecord bool
 }
 
 func (c Config) complete() Config {
--- a/internal/holder/duty.go
+++ b/internal/holder/duty.go
@@ -43,6 +43,8 @@
 	// extendAt is the earliest time of the next request for an extension; zero unless the term
 	// needs extensions.
 	extendAt time.Time
+	// lastIdentity is the identity of the claim that began this instance's last term; empty if there was none.
+	lastIdentity string
 	// claimAt is the earliest time of the next claim.
 	claimAt time.Time
 	// vacantSince is when claimIfVacant first found the duty vacant; zero once it found an owner.
--- a/internal/holder/formerholders.go
+++ b/internal/holder/formerholders.go
@@ -20,6 +20,8 @@
 type formerHolderPoll struct {
 	claim   *claim
 	formers []*formerHolder
+	// notBefore is the earliest time at which the terms of unknown former holders are over; zero if all of them are known.
+	notBefore time.Time
 	// nextPeers are the members to query again; nil before the first round, which queries all.
 	nextPeers []messenger.Peer
 }
@@ -42,9 +44,28 @@
 			owner: holding.owner(),
 		})
 	}
+	if c.recordMayBeOld() && !c.config.disabled.restoredRecord {
+		p.addUnknown()
+	}
 	return p
 }
 
+// addUnknown takes every member for a former holder, because a restored record lacks the holders since the copy.
+func (p *formerHolderPoll) addUnknown() {
+	h := p.claim.duty.holder
+	p.notBefore = h.formerEraEnd()
+	for _, peer := range peersOf(h.members()) {
+		known := slices.ContainsFunc(p.formers, func(f *formerHolder) bool { return f.owner.Peer.Name == peer.Name })
+		if !known {
+			p.formers = append(p.formers, &formerHolder{
+				owner: Owner{
+					Peer: peer,
+				},
+			})
+		}
+	}
+}
+
 // wait returns nil once every former holder's term is certainly over.
 func (p *formerHolderPoll) wait(ctx context.Context) error {
 	c := p.claim
@@ -75,6 +96,9 @@
 
 // allEnded reports whether every former holder's term is certainly over.
 func (p *formerHolderPoll) allEnded(now time.Time) bool {
+	if now.Before(p.notBefore) {
+		return false
+	}
 	for _, f := range p.formers {
 		if f.endsAt.IsZero() || now.Before(f.endsAt) {
 			return false
@@ -92,6 +116,9 @@
 		Holding: c.owner().encode(c.duty.name),
 	}
 	for _, f := range p.formers {
+		if f.owner.Epoch == 0 {
+			continue
+		}
 		message.Formers = append(message.Formers, f.owner.encode(c.duty.name))
 	}
 	payload := encode(message)
@@ -155,6 +182,9 @@
 	if c.config.disabled.extensionWait {
 		extension = 0
 	}
+	if end := now.Add(extension); !p.notBefore.IsZero() && end.After(p.notBefore) {
+		p.notBefore = end
+	}
 	for _, f := range p.formers {
 		if f.endsAt.IsZero() {
 			f.endsAt = p.termEnd(f, answers[f.owner.Peer.Name], attested[f.owner.Epoch] && extension == 0, before, now)
--- a/internal/holder/history_test.go
+++ b/internal/holder/history_test.go
@@ -53,7 +53,7 @@
 func (c *chaos) run() {
 	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
 		time.Sleep(c.randomDuration(200*time.Millisecond, 7*time.Second))
-		switch c.random.IntN(13) {
+		switch c.random.IntN(14) {
 		case 0, 1:
 			c.holderOrRandom().freeze(c.randomDuration(300*time.Millisecond, 25*time.Second), c.random.IntN(2) == 0)
 		case 2:
@@ -76,6 +76,8 @@
 			c.hide()
 		case 12:
 			c.cut()
+		case 13:
+			c.restore()
 		}
 	}
 }
@@ -103,6 +105,13 @@
 	time.AfterFunc(c.randomDuration(500*time.Millisecond, 40*time.Second), func() { m.outage(name, false) })
 }
 
+// restore lets the store come back from a copy some seconds old.
+func (c *chaos) restore() {
+	m := c.domain.store
+	saved := m.copy()
+	time.AfterFunc(c.randomDuration(100*time.Millisecond, 15*time.Second), func() { m.restore(saved) })
+}
+
 // cut drops all messages of one instance for less than WitnessTimeout.
 func (c *chaos) cut() {
 	s, n := c.domain, c.randomNode()
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -28,6 +28,9 @@
 	storeAnswered atomic.Int64
 
 	lock sync.Mutex
+	// era is the latest era of the store that is known here, and eraSince is when it was first seen.
+	era      uint64
+	eraSince time.Time
 	// aliveCache holds the alive members as of aliveCachedAt, since all duties read them in each
 	// tick.
 	aliveCache    []tracker.Member
@@ -202,6 +205,22 @@
 // recordStoreAnswer records that the store answered.
 func (h *Holder) recordStoreAnswer(now time.Time) { h.storeAnswered.Store(int64(now.Sub(h.started))) }
 
+// observeEra records an era of the store.
+func (h *Holder) observeEra(era uint64, now time.Time) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if era > h.era || h.eraSince.IsZero() {
+		h.era, h.eraSince = era, now
+	}
+}
+
+// formerEraEnd returns the time from which no lease of a former era of the store still covers a term.
+func (h *Holder) formerEraEnd() time.Time {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.eraSince.Add(h.config.Lease)
+}
+
 // storeReachable reports whether the store answered this instance recently.
 func (h *Holder) storeReachable(now time.Time) bool {
 	return now.Sub(h.started)-time.Duration(h.storeAnswered.Load()) < h.config.storeRecency()
--- a/internal/holder/memorystore_test.go
+++ b/internal/holder/memorystore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -13,8 +14,10 @@
 
 // memoryStore emulates the platform's key-value service in virtual time.
 type memoryStore struct {
-	lock     sync.Mutex
-	revision storer.Revision
+	lock sync.Mutex
+	// era is how often the store has been restored; revision counts the writes on from the copy.
+	era      uint64
+	revision uint64
 	entries  map[string]storer.Entry
 	leases   map[storer.LeaseID]*leaseState
 	grants   int
@@ -27,6 +30,50 @@
 	drop func(name string) bool
 }
 
+// storeCopy is a copy of what the store held at some time.
+type storeCopy struct {
+	revision uint64
+	entries  map[string]storer.Entry
+	leases   map[storer.LeaseID]leaseState
+}
+
+// copy returns a copy of the entries and leases.
+func (m *memoryStore) copy() storeCopy {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	saved := storeCopy{
+		revision: m.revision,
+		entries:  maps.Clone(m.entries),
+		leases:   map[storer.LeaseID]leaseState{},
+	}
+	for id, lease := range m.leases {
+		saved.leases[id] = *lease
+	}
+	return saved
+}
+
+// restore begins an era from a copy. Instances find what they read before at other revisions, and their leases lapsed; what
+// was attached to those stays until their time to live has passed.
+func (m *memoryStore) restore(from storeCopy) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	m.era++
+	m.revision, m.entries, m.leases = from.revision, map[string]storer.Entry{}, map[storer.LeaseID]*leaseState{}
+	for id, lease := range from.leases {
+		m.leases["copied "+id] = &leaseState{
+			ttl:      lease.ttl,
+			deadline: time.Now().Add(lease.ttl),
+		}
+	}
+	for key, entry := range from.entries {
+		entry.Revision = storer.NewRevision(m.era, entry.Revision.Number())
+		if entry.Lease != "" {
+			entry.Lease = "copied " + entry.Lease
+		}
+		m.entries[key] = entry
+	}
+}
+
 // leaseState is the state of a granted lease.
 type leaseState struct {
 	ttl      time.Duration
@@ -224,7 +271,7 @@
 	entry := storer.Entry{
 		Key:      swap.Key,
 		Value:    swap.Value,
-		Revision: m.revision,
+		Revision: storer.NewRevision(m.era, m.revision),
 		Lease:    swap.Lease,
 	}
 	m.entries[swap.Key] = entry
--- a/internal/holder/protection_test.go
+++ b/internal/holder/protection_test.go
@@ -147,6 +147,50 @@
 			}
 		},
 	},
+	{
+		name: "a restored store hands out an epoch again after all instances died",
+		disabled: protections{
+			eraEpochs: true,
+		},
+		size: 3,
+		script: func(s *testDomain, holder *node) {
+			saved := s.store.copy()
+			holder.kill()
+			time.Sleep(30 * time.Second)
+			for _, n := range s.all() {
+				n.kill()
+			}
+			s.store.restore(saved)
+			for _, n := range s.all() {
+				s.put(s.start(n.index, n.incarnation+1))
+			}
+			time.Sleep(60 * time.Second)
+		},
+	},
+	{
+		name: "a restored store lacks the record of the holder",
+		disabled: protections{
+			restoredRecord: true,
+		},
+		size: 2,
+		script: func(s *testDomain, holder *node) {
+			for range 10 {
+				saved := s.store.copy()
+				other := s.preferred(holder)
+				holder.kill()
+				for len(s.holders()) == 0 {
+					time.Sleep(50 * time.Millisecond)
+				}
+				s.cut(holder.name, other.name, true)
+				s.store.restore(saved)
+				s.put(s.start(holder.index, holder.incarnation+1))
+				time.Sleep(60 * time.Second)
+				s.cut(holder.name, other.name, false)
+				time.Sleep(30 * time.Second)
+				holder = s.byName(s.holders()[0])
+			}
+		},
+	},
 }
 
 // preferred returns the instance that would be the first to claim after the holder.
