Take the configuration of peers when a restored store has an older one

What callers could see: an instance that starts after the store came back from a copy, and before the operator has written again, puts the copy's configuration in force: routes that were added are unknown, dropped ones are served, revoked keys work (CONFIG). Cause: an instance that starts knows no revision but the stored one. Change: heartbeats carry the revision in force; an instance that is behind for a second requests the document from the peer that is ahead and puts it in force as one from the store. Ruled out: keeping the highest document in what readers relay, which an instance that reads the store itself does not see; writing the document back, which only the operator may.

--- a/internal/adopter/adopter.go
+++ b/internal/adopter/adopter.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorngap/buckthorngap/internal/follower"
+	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/pkg/configurator"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
@@ -22,6 +23,8 @@
 	// Decode decodes the document. A document for which it returns an error is ignored and
 	// logged.
 	Decode func(entry storer.Entry) (*configurator.Snapshot, error)
+	// Call sends a message to another instance, from which the configuration is taken if the stored one is behind it.
+	Call messenger.Caller
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Log receives one line for each configuration that is put in force or rejected.
@@ -37,6 +40,10 @@
 
 	mu          sync.Mutex
 	subscribers []func(*configurator.Snapshot)
+	// document is the stored document of the configuration in force.
+	document []byte
+	// ahead is the instance that was found to have a later revision in force; nil if there is none.
+	ahead *peerAhead
 }
 
 // New returns an Adopter with the empty configuration.
@@ -69,17 +76,21 @@
 func (a *Adopter) Apply(update follower.Update) {
 	for _, entry := range update.Entries {
 		if entry.Key == a.config.Key {
-			a.install(entry)
+			a.install(entry, "")
 		}
 	}
 }
 
 // install puts a document in force if its revision is higher than the current one, because a
-// stale read must not restore an older configuration.
-func (a *Adopter) install(entry storer.Entry) {
+// stale read must not restore an older configuration. Source is the instance that the document came from; empty if it was the
+// store.
+func (a *Adopter) install(entry storer.Entry, source string) {
 	start := a.config.Now()
 	next, err := a.config.Decode(entry)
 	log := a.config.Log.WithField("entry", entry.Revision)
+	if source != "" {
+		log = log.WithField("source", source)
+	}
 	if err != nil {
 		metrics.GetOrCreateCounter(`buckthorngap_config_refused_total`).Inc()
 		log.WithError(err).Error("configuration.unreadable")
@@ -96,6 +107,7 @@
 		return
 	}
 	a.current.Store(next)
+	a.document = entry.Value
 	a.ready.Store(true)
 	metrics.GetOrCreateCounter(`buckthorngap_config_installs_total`).Inc()
 	for _, subscriber := range a.subscribers {
--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -122,6 +122,10 @@
 				Read:   func() []byte { return f.quarantiner.Attachment() },
 				Handle: func(from messenger.Peer, attachment []byte) { f.quarantiner.HandleAttachment(from, attachment) },
 			},
+			{
+				Read:   f.adopter.Attachment,
+				Handle: f.adopter.HandleAttachment,
+			},
 		},
 	})
 	f.wireQuarantine()
@@ -130,7 +134,7 @@
 	f.wireFrontRequests()
 	f.wireStager()
 	f.wireProbes()
-	f.registerHandlers(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers(), f.relayer.Handlers(), f.pacer.Handlers(), f.quarantiner.Handlers())
+	f.registerHandlers(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers(), f.relayer.Handlers(), f.pacer.Handlers(), f.quarantiner.Handlers(), f.adopter.Handlers())
 	enlisted, err := enlister.New(enlister.Config{
 		Name:    settings.Name,
 		Domain:  settings.Domain,
@@ -319,6 +323,7 @@
 		f.messenger.Run,
 		f.enlister.Run,
 		f.follower.Run,
+		withoutError(f.adopter.Run),
 		f.tracker.Run,
 		f.holder.Run,
 		withoutError(f.limiter.Run),
--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -22,7 +22,11 @@
 	f.adopter = adopter.New(adopter.Config{
 		Key:    f.config.Configuration.Key,
 		Decode: f.config.Configuration.Decode,
-		Log:    f.log,
+		Call: func(ctx context.Context, to messenger.Peer, topic string, payload []byte) ([]byte, error) {
+			return f.messenger.Call(ctx, to, topic, payload)
+		},
+		Now: f.now,
+		Log: f.log,
 	})
 	f.snapshot = f.adopter.Current
 	f.upstreams = lister.New(lister.Config{
