Write the shared authority again when a restored store lacks it

What callers could see: instances that start after a restoration and those that run do not trust each other, so that limits, duties and configurations are not shared. Cause: the authority is written once, and the first instance to start on a store without one creates another. What remains: one that starts in the moment before the others have written it.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -38,6 +38,8 @@
 	Identity *certifier.Identity
 	// Store is the platform's key-value service.
 	Store *storer.Store
+	// KeepAuthority writes the authority of Identity to the store if that has none.
+	KeepAuthority func(ctx context.Context) error
 	// Now is the clock for leases and the detection of freezes. It must advance while the machine
 	// is suspended.
 	Now func() time.Time
@@ -88,6 +90,7 @@
 	quarantiner *quarantiner.Quarantiner
 	instances   *lister.Lister
 	enlister    *enlister.Enlister
+	rewriter    *rewriter
 	follower    *follower.Follower
 	relayer     *relayer.Relayer
 	probe       *dumper.Probe
@@ -107,6 +110,11 @@
 		}, config.Store, config.Now),
 	}
 	f.wireStoreSync()
+	f.rewriter = &rewriter{
+		keep: config.KeepAuthority,
+		wake: make(chan struct{}, 1),
+		log:  f.log,
+	}
 	if err := f.wireMessages(); err != nil {
 		return nil, err
 	}
@@ -322,6 +330,7 @@
 		f.guard.Run,
 		f.messenger.Run,
 		f.enlister.Run,
+		withoutError(f.rewriter.run),
 		f.follower.Run,
 		withoutError(f.adopter.Run),
 		f.tracker.Run,
--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -143,7 +143,10 @@
 }
 
 // rewrite writes again what a restored store may lack of this instance.
-func (f *Front) rewrite() { f.enlister.Refresh() }
+func (f *Front) rewrite() {
+	f.enlister.Refresh()
+	f.rewriter.request()
+}
 
 // listInstances returns the listed instances in the form that the tracker reads.
 func (f *Front) listInstances(context.Context) ([]storer.Instance, error) {
--- a/internal/certifier/errors.go
+++ b/internal/certifier/errors.go
@@ -48,3 +48,11 @@
 
 // Unwrap returns the underlying error.
 func (e *Unusable) Unwrap() error { return e.Cause }
+
+// Replaced reports that the store holds another authority than the one in use.
+type Replaced struct{}
+
+// Error implements error.
+func (e *Replaced) Error() string {
+	return "the store holds another authority than the one in use; instances that trust it are not trusted here"
+}
--- a/internal/certifier/sharedauthority.go
+++ b/internal/certifier/sharedauthority.go
@@ -1,6 +1,7 @@
 package certifier
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/x509"
@@ -59,6 +60,29 @@
 	return decodeAuthority(stored.Value)
 }
 
+// KeepShared writes the authority to the store again if there is none, as after the store was restored from a copy that lacks
+// it: instances that start later would create another one, and not trust those that run. The errors are those of the store,
+// *Unusable, or *Replaced if the store has another authority.
+func KeepShared(ctx context.Context, store *storer.Store, authority *Authority) error {
+	value, err := authority.encode()
+	if err != nil {
+		return err
+	}
+	stored, err := store.Get(ctx, SharedStoreKey)
+	var absent *storer.Absent
+	if errors.As(err, &absent) {
+		_, err = store.Swap(ctx, storer.Swap{
+			Key:   SharedStoreKey,
+			Value: value,
+		})
+		return err
+	}
+	if err == nil && !bytes.Equal(stored.Value, value) {
+		return &Replaced{}
+	}
+	return err
+}
+
 // encode returns the certificate followed by the private key, both in PEM.
 func (a *Authority) encode() ([]byte, error) {
 	key, err := x509.MarshalPKCS8PrivateKey(a.key)
