Count loans that a restored limit table may lack

What callers could see: a team gets more than its rate and burst after a restoration (QUOTA): the copy's table lacks instances that were lent budget since, and the new holder lends the same budget again. Cause: the debts of a new epoch are those of the stored table. Change: a holder that finds a table of a former era takes every known instance of its failure domain for a member that may hold the largest loans, until it has reported or been silent for long enough.

--- a/internal/holder/claim.go
+++ b/internal/holder/claim.go
@@ -259,7 +259,7 @@
 // of this instance that is still running shows that there were none.
 func (c *claim) recordMayBeOld() bool {
 	state := c.duty.current()
-	return c.record.Epoch>>epochBits < c.era && (state == nil || state.check() != nil)
+	return EpochEra(c.record.Epoch) < c.era && (state == nil || state.check() != nil)
 }
 
 func (c *claim) owner() Owner {
--- a/internal/holder/fence.go
+++ b/internal/holder/fence.go
@@ -8,3 +8,6 @@
 	// each act.
 	Check func() error
 }
+
+// EpochEra returns the era of the store in which the term with an epoch began.
+func EpochEra(epoch uint64) uint64 { return epoch >> epochBits }
--- a/internal/limiter/dutytable.go
+++ b/internal/limiter/dutytable.go
@@ -62,6 +62,19 @@
 	return next
 }
 
+// completed returns the table as it may have been before the store was restored from a copy: the copy may lack members, and
+// loans up to the largest sum.
+func (t dutyTable) completed(instances []string, budget float64) dutyTable {
+	whole := t.clone()
+	for _, name := range instances {
+		if _, known := whole.Members[name]; !known {
+			whole.Members[name] = false
+		}
+	}
+	whole.LendLimit = max(t.LendLimit, budget*lendFraction)
+	return whole
+}
+
 // lendFraction is the fraction of the remaining budget that an epoch may lend at once. The rest is left for its
 // successor, until the loans are accounted for.
 const lendFraction = 0.75
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -34,6 +34,8 @@
 	outage      bool
 	faulty      bool
 	domains     []string
+	// mutedListed keeps muted instances among those that others know of.
+	mutedListed bool
 	// disable removes a safeguard in every limiter.
 	disable func(*Limiter)
 	// beforeSpend returns an instance's hook between the check for a pause and the spending.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -49,6 +49,7 @@
 	skipPauseCheck bool
 	acceptStale    bool
 	ignoreDebts    bool
+	ignoreRestored bool
 	// acceptLateTransfers credits transfers of other domains after their deadline.
 	acceptLateTransfers bool
 	beforeSpend         func()
--- a/internal/limiter/maintain.go
+++ b/internal/limiter/maintain.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/buckthorngap/buckthorngap/internal/holder"
 	"github.com/buckthorngap/buckthorngap/internal/tracker"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
@@ -91,11 +92,28 @@
 		l.mu.Unlock()
 		return
 	}
+	if holder.EpochEra(stored.Epoch) < holder.EpochEra(epoch) && !l.limiter.ignoreRestored {
+		stored = stored.completed(l.domainInstances(), 1-l.limiter.rule.reservedFraction)
+	}
 	next := stored.successor(epoch, 1-l.limiter.rule.reservedFraction)
 	l.mu.Unlock()
 	l.writeTable(ctx, epoch, next, revision)
 }
 
+// domainInstances returns the names of the known instances of the failure domain, with this one.
+func (l *lender) domainInstances() []string {
+	names := []string{l.limiter.config.Self.Name}
+	if l.limiter.config.Members == nil {
+		return names
+	}
+	for _, m := range l.limiter.config.Members() {
+		if m.Domain == l.limiter.config.Self.Domain {
+			names = append(names, m.Peer.Name)
+		}
+	}
+	return names
+}
+
 // writeTable replaces the stored table with a compare-and-swap. If the outcome is unknown, the table is read
 // back later.
 func (l *lender) writeTable(ctx context.Context, epoch uint64, next dutyTable, expected storer.Revision) {
--- a/internal/limiter/transfers_test.go
+++ b/internal/limiter/transfers_test.go
@@ -20,7 +20,7 @@
 	defer n.fleet.mu.Unlock()
 	var members []tracker.Member
 	for name, other := range n.fleet.nodes {
-		if name == n.name || !other.running() || other.isMuted() {
+		if name == n.name || !other.running() || other.isMuted() && !n.fleet.mutedListed {
 			continue
 		}
 		members = append(members, tracker.Member{
