Go on with a term whose lock the restored store still has

What callers could see: requests refused inside their team's rate after each restoration, since every duty changed its epoch and new pools start empty; 3.5 s without holders when a site starts for the first time at a store whose era is not zero. Cause: a lease of a former era counts as lapsed, also where the copy has it, the lock and the record; and a store without a record counts as one that may lack it. Change: a holder whose term still runs looks its lock and record up and renews the lease under its new ID; the platform's settings tell when a site starts for the first time.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -72,6 +72,8 @@
 	Cores float64
 	// GracePeriod is how long a new holder of a duty over engines waits before its first order.
 	GracePeriod time.Duration
+	// Founding is set if all instances start for the first time.
+	Founding bool
 	// FinishWithdrawn lets requests finish that are running when their key is withdrawn.
 	FinishWithdrawn bool
 }
@@ -137,7 +139,7 @@
 		},
 	})
 	f.wireQuarantine()
-	f.wireDuties(append(limiter.Duties(settings.Duties.Limits), stager.Duties(settings.Duties.Placements)...), f.listedInDomain)
+	f.wireDuties(append(limiter.Duties(settings.Duties.Limits), stager.Duties(settings.Duties.Placements)...), f.listedInDomain, config.Founding)
 	f.wireAdmission()
 	f.wireFrontRequests()
 	f.wireStager()
--- a/internal/app/state.go
+++ b/internal/app/state.go
@@ -34,7 +34,7 @@
 		Call:    i.messenger.Call,
 		Log:     i.log,
 	})
-	i.wireDuties(append(limiter.Duties(i.settings.Duties.Limits), placer.Duties(i.settings.Duties.Placements)...), nil)
+	i.wireDuties(append(limiter.Duties(i.settings.Duties.Limits), placer.Duties(i.settings.Duties.Placements)...), nil, false)
 	return nil
 }
 
@@ -83,7 +83,8 @@
 
 // wireDuties creates the holder of this instance's duties. Listed returns the number of instances in
 // the failure domain according to the list of instances; it is nil if there is no such list.
-func (i *Instance) wireDuties(duties []string, listed func() int) {
+// Founding is set if all instances start for the first time.
+func (i *Instance) wireDuties(duties []string, listed func() int, founding bool) {
 	i.holder = holder.New(holder.Config{
 		Self:             i.self,
 		SelfPeer:         i.selfPeer(),
@@ -93,6 +94,7 @@
 		Call:             i.messenger.Call,
 		FreezeDetector:   i.guard,
 		Duties:           duties,
+		Founding:         founding,
 		ActsWithinMargin: actsWithinMargin,
 		Lease:            i.settings.Duties.Lease.Duration,
 		Margin:           i.settings.Duties.Margin.Duration,
--- a/internal/holder/claim.go
+++ b/internal/holder/claim.go
@@ -258,8 +258,13 @@
 // recordMayBeOld reports whether the record that was read is of a former era, so that it may lack the latest holders. A term
 // of this instance that is still running shows that there were none.
 func (c *claim) recordMayBeOld() bool {
-	state := c.duty.current()
-	return EpochEra(c.record.Epoch) < c.era && (state == nil || state.check() != nil)
+	if state := c.duty.current(); state != nil && state.check() == nil {
+		return false
+	}
+	if c.record.Epoch == 0 && c.config.Founding && c.duty.holder.foundingEra() == c.era {
+		return false
+	}
+	return EpochEra(c.record.Epoch) < c.era
 }
 
 func (c *claim) owner() Owner {
--- a/internal/holder/config.go
+++ b/internal/holder/config.go
@@ -44,6 +44,8 @@
 	Call messenger.Caller
 	// FreezeDetector detects freezes of the process. It must be running; it is shared with the tracker.
 	FreezeDetector *tracker.FreezeDetector
+	// Founding is set if all instances start for the first time, so that a store without records has had no holders.
+	Founding bool
 	// Duties are the names of the failure domain's duties.
 	Duties []string
 	// Lease is the time to live of a duty's lease; zero means 6 s.
--- a/internal/holder/domain_test.go
+++ b/internal/holder/domain_test.go
@@ -49,6 +49,8 @@
 	network  *network.Network
 	store    *memoryStore
 	disabled protections
+	// founding is set while all instances start for the first time.
+	founding bool
 	nodes    []*node
 	random   *rand.Rand
 	group    sync.WaitGroup
@@ -241,6 +243,7 @@
 		Call:             s.network.Caller(networkNode),
 		FreezeDetector:   detector,
 		Duties:           []string{testDuty},
+		Founding:         s.founding,
 		ActsWithinMargin: func(string) bool { return true },
 		Now:              n.now,
 		Log:              log,
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -31,6 +31,8 @@
 	// era is the latest era of the store that is known here, and eraSince is when it was first seen.
 	era      uint64
 	eraSince time.Time
+	// firstEra is the era that was seen first.
+	firstEra uint64
 	// aliveCache holds the alive members as of aliveCachedAt, since all duties read them in each
 	// tick.
 	aliveCache    []tracker.Member
@@ -209,11 +211,21 @@
 func (h *Holder) observeEra(era uint64, now time.Time) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
+	if h.eraSince.IsZero() {
+		h.firstEra = era
+	}
 	if era > h.era || h.eraSince.IsZero() {
 		h.era, h.eraSince = era, now
 	}
 }
 
+// foundingEra returns the era of the store in which this instance started.
+func (h *Holder) foundingEra() uint64 {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.firstEra
+}
+
 // formerEraEnd returns the time from which no lease of a former era of the store still covers a term.
 func (h *Holder) formerEraEnd() time.Time {
 	h.lock.Lock()
--- a/internal/holder/release.go
+++ b/internal/holder/release.go
@@ -31,7 +31,7 @@
 	}
 	storeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := config.Store.Revoke(storeCtx, state.lease); err != nil {
+	if err := config.Store.Revoke(storeCtx, state.leaseID()); err != nil {
 		d.log(state.epoch).WithField("error", err).Warn("lease.unrevoked")
 	}
 	d.announceVacancy(ctx, state.epoch)
--- a/internal/holder/renewal.go
+++ b/internal/holder/renewal.go
@@ -38,6 +38,10 @@
 	switch {
 	case err == nil:
 		d.announce(ctx, state, 0)
+	case errors.As(err, &lapsed) && d.resume(ctx, state):
+		// The next tick renews the lease under its new ID.
+		d.renewAt = time.Time{}
+		d.wakeUp()
 	case errors.As(err, &lapsed):
 		// The lease has lapsed, but the witnesses extended the term beyond it. Claim the duty
 		// again.
@@ -52,6 +56,38 @@
 	}
 }
 
+// resume finds the lease of the running term again in a store that was restored from a copy with the term's lock and record:
+// it has another ID there. It returns false if the store has them no longer.
+func (d *duty) resume(ctx context.Context, state *termState) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	h := d.holder
+	domain := h.config.Self.Domain
+	entries, err := h.config.Store.List(ctx, prefix(domain, d.name))
+	if err != nil || state.check() != nil {
+		return false
+	}
+	var lease storer.LeaseID
+	recorded := false
+	for _, entry := range entries {
+		switch entry.Key {
+		case lockKey(domain, d.name):
+			if string(entry.Value) == d.lastIdentity && entry.Lease != state.leaseID() {
+				lease = entry.Lease
+			}
+		case recordKey(domain, d.name):
+			stored, err := decodeRecord(entry)
+			recorded = err == nil && stored.Identity == d.lastIdentity
+		}
+	}
+	if lease == "" || !recorded {
+		return false
+	}
+	state.setLease(lease)
+	d.log(state.epoch).WithField("lease", lease).Info("duty.resumed")
+	return true
+}
+
 // renew renews the lease. The new deadline counts from before the request was sent.
 func (d *duty) renew(ctx context.Context, state *termState) error {
 	h := d.holder
@@ -64,7 +100,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	lease, err := h.config.Store.Renew(ctx, state.lease)
+	lease, err := h.config.Store.Renew(ctx, state.leaseID())
 	if err != nil {
 		return err
 	}
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -27,9 +27,9 @@
 	duty   string
 	epoch  uint64
 	config Config
-	lease  storer.LeaseID
 
 	lock     sync.Mutex
+	lease    storer.LeaseID
 	deadline time.Time
 	mark     tracker.Mark
 	ended    error
@@ -73,6 +73,20 @@
 	return nil
 }
 
+// leaseID returns the ID of the lease in the store.
+func (s *termState) leaseID() storer.LeaseID {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.lease
+}
+
+// setLease replaces the ID of the lease.
+func (s *termState) setLease(id storer.LeaseID) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.lease = id
+}
+
 // expired reports whether the term is over. A passed deadline ends it permanently. The lock must be
 // held.
 func (s *termState) expired(now time.Time) bool {
