Quarantine requests as a whole under which upstreams crash

What callers saw: one request, to the plain service or with a prompt, ended server after server; others that ran beside it broke off, and up to two of three servers were down. Causes, all three hypotheses: nothing knew a request but by the shared parts of its prompt; a crash later than 200 ms into an answer counted as survived, and crashes under repeats within 250 ms as one; a message carried 12 suspects while a crash under 60 requests makes hundreds, so that each instance counted for itself. Change: the caller, target and body of a request make one more name beside its parts, in the same quarantine. It is cleared by a complete answer only; crashes count apart if the request was sent on after the one before. Instances pass on the crash with its requests, from which all derive the same suspects; heartbeats carry what is quarantined first and the rest in turn; what has the fewest crashes is dropped first. A single request explains the crashes under its parts. Ruled out: a second mechanism for plain services; the identity of the attempt, which differs each time; counting in the store.

--- a/internal/app/quarantine.go
+++ b/internal/app/quarantine.go
@@ -11,7 +11,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/server"
 )
 
-// wireQuarantine creates the quarantiner, which finds the parts of prompts under which engines crash.
+// wireQuarantine creates the quarantiner, which finds the requests and parts of prompts under which upstreams crash.
 func (f *Front) wireQuarantine() {
 	f.quarantiner = quarantiner.New(quarantiner.Config{
 		Peers:   f.allPeers,
@@ -25,9 +25,10 @@
 // quarantineFunctions returns the functions through which the server uses the quarantiner.
 func (f *Front) quarantineFunctions() server.Quarantine {
 	return server.Quarantine{
-		Check:        f.quarantiner.Quarantined,
-		ReportBegun:  f.quarantiner.Survived,
-		ReportBroken: f.quarantiner.Broke,
+		Check:          f.quarantiner.Quarantined,
+		ReportBegun:    f.quarantiner.Survived,
+		ReportComplete: f.quarantiner.Completed,
+		ReportBroken:   f.quarantiner.Broke,
 	}
 }
 
--- a/internal/forwarder/begun.go
+++ b/internal/forwarder/begun.go
@@ -23,24 +23,34 @@
 	r.routed.ReportBegun(r.firstByteAt)
 }
 
-// reportEnd reports the end of a complete answer. One that ended with its connection right after it began may have been cut
-// off by a crash.
+// reportEnd reports the end of a complete answer. One that ended with its connection may have been cut off by a crash.
 func (r *routing) reportEnd(choice *router.Choice) {
-	if !r.undelimited {
-		r.reportBegun()
+	if r.undelimited {
+		r.reportBreak(choice)
 		return
 	}
-	if !r.reportedBegun && r.routed.ReportBroken != nil {
-		r.routed.ReportBroken(choice.Upstream, choice.Address)
+	r.reportBegun()
+	if r.routed.ReportComplete != nil {
+		r.routed.ReportComplete(r.forwarder.config.Now())
 	}
 }
 
-// reportBroken reports a connection that broke before the answer had begun.
+// reportBroken reports a connection that broke before the answer was complete.
 func (r *routing) reportBroken(choice *router.Choice, failed *failure) {
-	if r.routed.ReportBroken == nil || r.reportedBegun || failed.unsent || !connectionBroke(failed.cause) {
-		return
+	if !failed.unsent && connectionBroke(failed.cause) {
+		r.reportBreak(choice)
+	}
+}
+
+func (r *routing) reportBreak(choice *router.Choice) {
+	if r.routed.ReportBroken != nil {
+		r.routed.ReportBroken(Break{
+			Upstream: choice.Upstream,
+			Address:  choice.Address,
+			Sent:     r.sentAt,
+			Begun:    r.reportedBegun,
+		})
 	}
-	r.routed.ReportBroken(choice.Upstream, choice.Address)
 }
 
 // connectionBroke reports whether an error is that of a connection which the other side closed or reset.
--- a/internal/forwarder/routedrequest.go
+++ b/internal/forwarder/routedrequest.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/buckthorngap/buckthorngap/internal/router"
@@ -46,8 +45,10 @@
 	// ReportBegun is called once an attempt's answer has gone on for a while or is complete, with the time at which it
 	// began; nil means that nobody needs to know.
 	ReportBegun func(at time.Time)
-	// ReportBroken is called with the upstream of an attempt whose connection broke before that; may be nil.
-	ReportBroken func(upstream string, address netip.AddrPort)
+	// ReportComplete is called when an attempt's answer was complete; may be nil.
+	ReportComplete func(at time.Time)
+	// ReportBroken is called when an attempt's connection broke before that; may be nil.
+	ReportBroken func(broken Break)
 	// Check returns a refusal if the request must not be sent any more.
 	Check func() error
 	// Begin delivers the status and header of the answer. The length is that of the
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -46,6 +46,8 @@
 	// errorAnswer is an upstream's own error answer (status 500 and up), which is delivered if no other
 	// upstream gives a complete answer; nil if there was none.
 	errorAnswer *bufferedAnswer
+	// sentAt is when the last attempt was sent.
+	sentAt time.Time
 	// firstByteAt is when the first byte of the body of the last attempt's stream arrived, or the head of another answer;
 	// zero if none did.
 	firstByteAt time.Time
@@ -199,6 +201,7 @@
 		metadata.TimeLeft = deadline.Sub(f.config.Now())
 	}
 	f.config.Dialect.WriteRequest(header, metadata)
+	r.sentAt = f.config.Now()
 	response, err := f.send(ctx, choice, a, &outgoingRequest{
 		method:  c.Method,
 		address: choice.Address,
--- a/internal/forwarder/streamend_test.go
+++ b/internal/forwarder/streamend_test.go
@@ -1,8 +1,9 @@
 package forwarder_test
 
 import (
+	"io"
 	"net/http"
-	"net/netip"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -41,7 +42,7 @@
 			request := newRouted()
 			request.Stream, request.Repeatable = true, false
 			broken := 0
-			request.ReportBroken = func(string, netip.AddrPort) { broken++ }
+			request.ReportBroken = func(forwarder.Break) { broken++ }
 			request.ReportBegun = func(time.Time) {}
 			got := newHarness(forwarder.Config{}, upstream.address()).route(t.Context(), t, request)
 			is.Equal(got.refused == nil, c.complete)
@@ -61,7 +62,7 @@
 	c.Stream, c.Repeatable = true, false
 	begun, broken := 0, 0
 	c.ReportBegun = func(time.Time) { begun++ }
-	c.ReportBroken = func(string, netip.AddrPort) { broken++ }
+	c.ReportBroken = func(forwarder.Break) { broken++ }
 	got := newHarness(forwarder.Config{}, upstream.address()).route(t.Context(), t, c)
 	is.Equal(got.refused, nil)
 	is.Equal(begun, 0)
@@ -101,25 +102,53 @@
 // TestCompleteAnswersAreReported guards against engines whose answers are no streams and never count as answered.
 func TestCompleteAnswersAreReported(t *testing.T) {
 	for name, c := range map[string]struct {
-		reply         string
-		begun, broken int
+		reply                   string
+		begun, broken, complete int
 	}{
-		"with a length":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1, 0},
-		"without a length": {"HTTP/1.1 200 OK\r\n\r\nok" + closeConnection, 0, 1},
-		"broken off":       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok" + closeConnection, 0, 1},
-		"an error":         {"HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", 0, 0},
+		"with a length":    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1, 0, 1},
+		"without a length": {"HTTP/1.1 200 OK\r\n\r\nok" + closeConnection, 0, 1, 0},
+		"broken off":       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok" + closeConnection, 0, 1, 0},
+		"an error":         {"HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nok", 0, 0, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			upstream := newRawUpstream(t, func(int, *http.Request) string { return c.reply })
 			request := newRouted()
 			request.Repeatable = false
-			begun, broken := 0, 0
+			begun, broken, complete := 0, 0, 0
+			request.ReportComplete = func(time.Time) { complete++ }
 			request.ReportBegun = func(time.Time) { begun++ }
-			request.ReportBroken = func(string, netip.AddrPort) { broken++ }
+			request.ReportBroken = func(forwarder.Break) { broken++ }
 			_ = newHarness(forwarder.Config{}, upstream.address()).route(t.Context(), t, request)
 			is.Equal(begun, c.begun)
 			is.Equal(broken, c.broken)
+			is.Equal(complete, c.complete)
 		})
 	}
 }
+
+// TestBreakTellsWhetherTheAnswerHadBegun guards against a crash late in a stream that is not reported, and one that is taken
+// for one at its beginning.
+func TestBreakTellsWhetherTheAnswerHadBegun(t *testing.T) {
+	is := is.New(t)
+	var broken []forwarder.Break
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		controller := http.NewResponseController(w)
+		for range 4 {
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+			_ = controller.Flush()
+			time.Sleep(80 * time.Millisecond)
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer upstream.Close()
+	request := newRouted()
+	request.Stream, request.Repeatable = true, false
+	request.ReportBegun = func(time.Time) {}
+	request.ReportBroken = func(b forwarder.Break) { broken = append(broken, b) }
+	sent := time.Now()
+	_ = newHarness(forwarder.Config{}, strings.TrimPrefix(upstream.URL, "http://")).route(t.Context(), t, request)
+	is.Equal(len(broken), 1)
+	is.True(broken[0].Begun)
+	is.True(!broken[0].Sent.Before(sent) && broken[0].Sent.Before(sent.Add(100*time.Millisecond)))
+}
--- a/internal/quarantiner/broadcast.go
+++ b/internal/quarantiner/broadcast.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
+	"github.com/buckthorngap/buckthorngap/internal/quarantiner/quarantinerpb"
 )
 
 const (
@@ -64,10 +65,34 @@
 
 // tell passes suspects on to all instances. The mutex is held.
 func (q *Quarantiner) tell(parts map[uint64]bool) {
-	if len(parts) == 0 {
-		return
+	if len(parts) > 0 {
+		q.broadcast(q.encode(func(s *suspect) bool { return parts[s.part] }))
 	}
-	payload := q.encode(func(s *suspect) bool { return parts[s.part] })
+}
+
+// report passes a crash and the requests that this instance had there on to all instances. The mutex is held.
+func (q *Quarantiner) report(record crashRecord, attempts []Attempt) {
+	now := q.config.Now()
+	sighting := &quarantinerpb.Sighting{
+		Crash: record.encode(now),
+	}
+	for _, attempt := range attempts {
+		request := &quarantinerpb.Request{
+			Whole:   attempt.Whole,
+			SentAge: int64(now.Sub(attempt.Sent)),
+		}
+		if !attempt.Begun {
+			request.Parts = attempt.Parts
+		}
+		sighting.Requests = append(sighting.Requests, request)
+	}
+	q.broadcast(q.marshal(&quarantinerpb.Suspects{
+		Sightings: []*quarantinerpb.Sighting{sighting},
+	}))
+}
+
+// broadcast sends a message to all instances, unless too many are waiting.
+func (q *Quarantiner) broadcast(payload []byte) {
 	select {
 	case q.outgoing <- &broadcast{
 		quarantiner: q,
--- a/internal/quarantiner/crash.go
+++ b/internal/quarantiner/crash.go
@@ -28,8 +28,8 @@
 
 	// The mutex of the quarantiner guards the fields below.
 
-	// prompts are the parts of the prompts that were about to be answered and are not recorded yet.
-	prompts [][]uint64
+	// attempts are the requests that the engine ran and that are not recorded yet.
+	attempts []Attempt
 	// confirmed is set once the engine was found to be down.
 	confirmed bool
 }
--- a/internal/quarantiner/dump.go
+++ b/internal/quarantiner/dump.go
@@ -8,8 +8,10 @@
 
 // Row describes one suspect in a state dump.
 type Row struct {
-	// Part is the hash of the part's name, as in the log.
+	// Part is the hash of the part's name, or of the request as a whole, as in the log.
 	Part string `json:"part"`
+	// Whole is set if Part is that of a request as a whole.
+	Whole bool `json:"whole,omitempty"`
 	// Crashes is the number of crashes that count against the part.
 	Crashes int `json:"crashes"`
 	// Last is when an engine last crashed under it.
@@ -33,6 +35,7 @@
 	for _, s := range q.suspects {
 		row := Row{
 			Part:    formatPart(s.part),
+			Whole:   s.whole,
 			Crashes: len(s.counted(now)),
 			Last:    s.lastCrash(),
 			Sound:   s.soundAt,
--- a/internal/quarantiner/fuzz_test.go
+++ b/internal/quarantiner/fuzz_test.go
@@ -39,7 +39,7 @@
 			t.Fatalf("%d suspects", q.count.Load())
 		}
 		for part, s := range q.suspects {
-			until, held := q.Quarantined(append([]uint64{part}, s.common...))
+			until, held := q.Quarantined(Request{Parts: append([]uint64{part}, s.common...), Whole: part})
 			if held && until.Sub(now) > maxTerm {
 				t.Fatalf("refused for %s", until.Sub(now))
 			}
--- a/internal/quarantiner/gossip.go
+++ b/internal/quarantiner/gossip.go
@@ -1,7 +1,6 @@
 package quarantiner
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -40,25 +39,26 @@
 	}
 }
 
-// encode encodes the suspects that included selects, at most maxAttached. The mutex is held.
+// encode encodes the suspects that included selects, at most maxAttached: the most important ones, and some of the others in
+// turn. The mutex is held.
 func (q *Quarantiner) encode(included func(*suspect) bool) []byte {
 	now := q.config.Now()
-	var selected []*suspect
-	for _, s := range q.suspects {
-		if included(s) {
-			selected = append(selected, s)
-		}
-	}
-	slices.SortFunc(selected, func(a, b *suspect) int {
-		return cmp.Or(cmp.Compare(len(b.counted(now)), len(a.counted(now))), b.until.Compare(a.until), cmp.Compare(a.part, b.part))
-	})
-	if len(selected) == 0 {
-		return nil
+	selected := slices.DeleteFunc(q.ranked(now), func(s *suspect) bool { return !included(s) })
+	if len(selected) > maxAttached {
+		rest := selected[maxAttached/2:]
+		q.turn = (q.turn + maxAttached/2) % len(rest)
+		rest = append(slices.Clone(rest[q.turn:]), rest[:q.turn]...)
+		selected = append(selected[:maxAttached/2:maxAttached/2], rest...)
 	}
 	message := &quarantinerpb.Suspects{}
 	for _, s := range selected[:min(len(selected), maxAttached)] {
 		message.Suspects = append(message.Suspects, s.encode(now))
 	}
+	return q.marshal(message)
+}
+
+// marshal encodes a message; nil if it is empty or that fails.
+func (q *Quarantiner) marshal(message *quarantinerpb.Suspects) []byte {
 	encoded, err := proto.Marshal(message)
 	if err != nil {
 		q.config.Log.WithError(err).Warn("part.unencoded")
@@ -74,20 +74,27 @@
 		Common: s.common,
 		Term:   int64(s.term),
 		Left:   int64(s.until.Sub(now)),
+		Whole:  s.whole,
 	}
 	if !s.soundAt.IsZero() {
 		message.Sound = true
 		message.SoundAge = int64(now.Sub(s.soundAt))
 	}
 	for _, crash := range s.crashes {
-		message.Crashes = append(message.Crashes, &quarantinerpb.Crash{
-			Engine: crash.engine,
-			Age:    int64(now.Sub(crash.at)),
-		})
+		message.Crashes = append(message.Crashes, crash.encode(now))
 	}
 	return message
 }
 
+// encode converts a crash to its wire format.
+func (c crashRecord) encode(now time.Time) *quarantinerpb.Crash {
+	return &quarantinerpb.Crash{
+		Engine:  c.engine,
+		Age:     int64(now.Sub(c.at)),
+		SentAge: int64(now.Sub(c.sent)),
+	}
+}
+
 // merge adds what another instance knows. It returns *Malformed.
 func (q *Quarantiner) merge(payload []byte) error {
 	message := &quarantinerpb.Suspects{}
@@ -102,6 +109,9 @@
 	for _, told := range message.GetSuspects()[:min(len(message.GetSuspects()), maxAttached)] {
 		q.mergeSuspect(told, now)
 	}
+	for _, told := range message.GetSightings()[:min(len(message.GetSightings()), 1)] {
+		q.mergeSighting(told, now)
+	}
 	return nil
 }
 
@@ -111,7 +121,7 @@
 	if len(crashes) == 0 && time.Duration(told.GetLeft()) <= 0 && q.suspects[told.GetPart()] == nil {
 		return
 	}
-	s := q.suspect(told.GetPart(), now)
+	s := q.suspect(told.GetPart(), told.GetWhole(), now)
 	for _, crash := range crashes {
 		s.addCrash(crash, told.GetCommon())
 	}
@@ -136,11 +146,39 @@
 		crashes = append(crashes, crashRecord{
 			engine: crash.GetEngine(),
 			at:     now.Add(-age),
+			sent:   now.Add(-boundedAge(crash.GetSentAge())),
 		})
 	}
 	return crashes
 }
 
+// boundedAge converts an age from its wire format; an impossible one counts as very old.
+func boundedAge(nanoseconds int64) time.Duration {
+	if age := time.Duration(nanoseconds); age >= 0 && age < minTerm {
+		return age
+	}
+	return minTerm
+}
+
+// mergeSighting adds a crash that another instance has seen. The mutex is held.
+func (q *Quarantiner) mergeSighting(told *quarantinerpb.Sighting, now time.Time) {
+	records := decodeCrashes([]*quarantinerpb.Crash{told.GetCrash()}, now)
+	if len(records) == 0 {
+		return
+	}
+	var attempts []Attempt
+	for _, request := range told.GetRequests()[:min(len(told.GetRequests()), maxPending)] {
+		attempts = append(attempts, Attempt{
+			Request: Request{
+				Parts: request.GetParts()[:min(len(request.GetParts()), maxCommon)],
+				Whole: request.GetWhole(),
+			},
+			Sent: now.Add(-boundedAge(request.GetSentAge())),
+		})
+	}
+	q.add(records[0], attempts)
+}
+
 // extend takes over a longer quarantine.
 func (s *suspect) extend(now time.Time, left, term time.Duration) {
 	if left <= 0 || left > maxTerm || term < left || term > maxTerm {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -1,7 +1,9 @@
 package quarantiner
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -12,8 +14,8 @@
 )
 
 const (
-	// maxSuspects limits the number of suspects. The one whose last crash is the longest ago is dropped first.
-	maxSuspects = 256
+	// maxSuspects limits the number of suspects. Those with the fewest crashes are dropped first, a sixteenth at a time.
+	maxSuspects = 1024
 	// maxPending limits the crashes and messages that wait to be handled.
 	maxPending = 64
 	// evaluationInterval is the time between two evaluations while there are suspects.
@@ -32,6 +34,8 @@
 
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
+	// turn is the first of the less important suspects that the next heartbeat carries.
+	turn int
 	// crashes holds the recent crashes by the engine's name.
 	crashes map[string]*crash
 }
@@ -70,10 +74,10 @@
 	}
 }
 
-// Broke records that a connection to an engine broke before the answer to a prompt with the given parts had begun. It
-// counts once the engine turns out to be down.
-func (q *Quarantiner) Broke(engine string, address netip.AddrPort, parts []uint64) {
-	if len(parts) == 0 {
+// Broke records that the connection of an attempt to an engine broke before its answer was complete. It counts once the
+// engine turns out to be down.
+func (q *Quarantiner) Broke(engine string, address netip.AddrPort, attempt Attempt) {
+	if len(attempt.names()) == 0 {
 		return
 	}
 	now := q.config.Now()
@@ -95,56 +99,72 @@
 			return
 		}
 	}
-	if len(c.prompts) < maxPending {
-		c.prompts = append(c.prompts, slices.Clone(parts))
+	if len(c.attempts) < maxPending {
+		attempt.Parts = slices.Clone(attempt.Parts)
+		c.attempts = append(c.attempts, attempt)
 	}
 	if c.confirmed {
 		q.record(c)
 	}
 }
 
-// record adds the prompts of a confirmed crash to the suspects and passes the news on. The mutex is held.
+// record adds the requests of a confirmed crash to the suspects and passes the sighting on. The mutex is held.
 func (q *Quarantiner) record(c *crash) {
-	now := q.config.Now()
 	record := crashRecord{
 		engine: hashName(c.engine),
 		at:     c.at,
 	}
+	attempts := c.attempts
+	c.attempts = nil
+	for part := range q.add(record, attempts) {
+		q.logSuspected(part, c.engine)
+	}
+	q.report(record, attempts)
+}
+
+// add adds the requests that an engine ran when it crashed to the suspects, and returns those that changed. The mutex is held.
+func (q *Quarantiner) add(record crashRecord, attempts []Attempt) map[uint64]bool {
+	now := q.config.Now()
 	changed := map[uint64]bool{}
-	for _, prompt := range c.prompts {
-		for _, part := range prompt {
-			s := q.suspect(part, now)
+	for _, attempt := range attempts {
+		record.sent = attempt.Sent
+		names := attempt.names()
+		for _, name := range names {
+			s := q.suspect(name, name == attempt.Whole, now)
 			before := len(s.common)
-			if s.addCrash(record, prompt) || len(s.common) != before {
-				changed[part] = true
+			if s.addCrash(record, names) || len(s.common) != before {
+				changed[name] = true
 			}
 		}
 	}
-	for part := range changed {
-		s := q.suspects[part]
-		if s == nil {
-			continue // dropped for a later part of the same crash
-		}
-		q.config.Log.WithFields(logrus.Fields{
-			"part":    formatPart(part),
-			"engine":  c.engine,
-			"crashes": len(s.counted(now)),
-			"common":  len(s.common),
-		}).Info("part.suspected")
+	return changed
+}
+
+// logSuspected logs what is known of a suspect after a crash, unless it was dropped again for a later part of the same
+// crash. The mutex is held.
+func (q *Quarantiner) logSuspected(part uint64, engine string) {
+	s := q.suspects[part]
+	if s == nil {
+		return
 	}
-	c.prompts = nil
-	q.tell(changed)
+	q.config.Log.WithFields(logrus.Fields{
+		s.kind():  formatPart(part),
+		"engine":  engine,
+		"crashes": len(s.counted(q.config.Now())),
+		"common":  len(s.common),
+	}).Info(s.kind() + ".suspected")
 }
 
-// suspect returns the suspect for a part, and creates it if necessary. The mutex is held.
-func (q *Quarantiner) suspect(part uint64, now time.Time) *suspect {
+// suspect returns the suspect for a part or, if whole is set, a request, and creates it if necessary. The mutex is held.
+func (q *Quarantiner) suspect(part uint64, whole bool, now time.Time) *suspect {
 	s := q.suspects[part]
 	if s != nil {
 		return s
 	}
 	q.prune(now)
 	s = &suspect{
-		part: part,
+		part:  part,
+		whole: whole,
 	}
 	q.suspects[part] = s
 	q.count.Store(int64(len(q.suspects)))
@@ -163,18 +183,36 @@
 			delete(q.crashes, engine)
 		}
 	}
-	for len(q.suspects) >= maxSuspects {
-		var oldest *suspect
-		for _, s := range q.suspects {
-			if oldest == nil || s.held(now) == oldest.held(now) && s.lastCrash().Before(oldest.lastCrash()) || !s.held(now) && oldest.held(now) {
-				oldest = s
-			}
+	if len(q.suspects) >= maxSuspects {
+		ranked := q.ranked(now)
+		for _, s := range ranked[maxSuspects-maxSuspects/16:] {
+			delete(q.suspects, s.part)
 		}
-		delete(q.suspects, oldest.part)
 	}
 	q.count.Store(int64(len(q.suspects)))
 }
 
+// ranked returns the suspects, those that matter most first: what is quarantined, then what has the most crashes, then
+// what had the latest. The mutex is held.
+func (q *Quarantiner) ranked(now time.Time) []*suspect {
+	counts := make(map[*suspect]int, len(q.suspects))
+	ranked := make([]*suspect, 0, len(q.suspects))
+	for _, s := range q.suspects {
+		counts[s] = len(s.counted(now))
+		if s.held(now) {
+			counts[s] = math.MaxInt
+		}
+		ranked = append(ranked, s)
+	}
+	slices.SortFunc(ranked, func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), b.lastCrash().Compare(a.lastCrash()), cmp.Compare(a.part, b.part))
+	})
+	return ranked
+}
+
+// Completed records that an engine completed at the given time the answer to a request.
+func (q *Quarantiner) Completed(whole uint64, at time.Time) { q.Survived([]uint64{whole}, at) }
+
 // Survived records that an engine began at the given time to answer a prompt with these parts, and went on.
 func (q *Quarantiner) Survived(parts []uint64, began time.Time) {
 	if q.count.Load() == 0 {
@@ -193,36 +231,39 @@
 		if !wasSound && s.sound() {
 			s.release()
 			changed[part] = true
-			q.config.Log.WithField("part", formatPart(part)).Info("part.sound")
+			q.config.Log.WithField(s.kind(), formatPart(part)).Info(s.kind() + ".sound")
 		}
 	}
 	q.tell(changed)
 }
 
-// Quarantined reports whether a prompt with the given parts must not be sent, and until when.
-func (q *Quarantiner) Quarantined(parts []uint64) (until time.Time, held bool) {
+// Quarantined reports whether a request must not be sent, and until when.
+func (q *Quarantiner) Quarantined(request Request) (until time.Time, held bool) {
 	if q.count.Load() == 0 {
 		return time.Time{}, false
 	}
 	now := q.config.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, part := range parts {
+	if s := q.suspects[request.Whole]; s != nil && s.whole && s.held(now) {
+		return s.until, true
+	}
+	for _, part := range request.Parts {
 		s := q.suspects[part]
-		if s != nil && s.held(now) && q.matches(s, parts) {
+		if s != nil && !s.whole && s.held(now) && q.matches(s, request) {
 			return s.until, true
 		}
 	}
 	return time.Time{}, false
 }
 
-// matches reports whether a prompt has all parts that a suspect's prompts had in common, apart from those that were
+// matches reports whether a request has all that a suspect's requests had in common, apart from what was
 // answered without it since the first crash that counted. The mutex is held.
-func (q *Quarantiner) matches(s *suspect, parts []uint64) bool {
+func (q *Quarantiner) matches(s *suspect, request Request) bool {
 	for _, part := range s.common {
 		other := q.suspects[part]
 		sound := other != nil && len(s.crashes) > 0 && other.soundAt.After(s.crashes[0].at)
-		if part != s.part && !sound && !slices.Contains(parts, part) {
+		if part != s.part && part != request.Whole && !sound && !slices.Contains(request.Parts, part) {
 			return false
 		}
 	}
@@ -230,13 +271,20 @@
 }
 
 // explained reports whether another part explains all crashes of a suspect better: it occurred at each of them, and also at
-// others, or only together with the suspect while the suspect also occurred without it. The mutex is held.
+// others, or only together with the suspect while the suspect also occurred without it. A single request explains the crashes
+// under its parts best. The mutex is held.
 func (q *Quarantiner) explained(s *suspect, now time.Time) bool {
+	if s.whole {
+		return false
+	}
 	crashes := s.counted(now)
 	for _, other := range q.suspects {
 		if other == s || other.sound() || !other.held(now) && len(other.counted(now)) < minCrashes || !other.covers(crashes) {
 			continue
 		}
+		if other.whole {
+			return true
+		}
 		rarer := slices.Contains(other.common, s.part) && !slices.Contains(s.common, other.part)
 		if rarer || !s.covers(other.crashes) {
 			return true
@@ -259,11 +307,11 @@
 		changed[part] = true
 		q.metrics.quarantined.Inc()
 		q.config.Log.WithFields(logrus.Fields{
-			"part":    formatPart(part),
+			s.kind():  formatPart(part),
 			"crashes": crashes,
 			"common":  len(s.common),
 			"term":    s.term,
-		}).Warn("part.quarantined")
+		}).Warn(s.kind() + ".quarantined")
 	}
 	q.prune(now)
 	q.tell(changed)
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -84,7 +84,7 @@
 func crashUnder(s *testSite, node, engine int, prompts ...[]uint64) {
 	s.crash(s.engines[engine])
 	for _, parts := range prompts {
-		s.nodes[node].Broke(s.engines[engine].name, engineAddress(engine), parts)
+		s.nodes[node].Broke(s.engines[engine].name, engineAddress(engine), Attempt{Request: Request{Parts: parts}})
 	}
 	time.Sleep(testDowntime + time.Second)
 }
@@ -98,15 +98,15 @@
 		for round := range minCrashes {
 			crashUnder(s, round, round, []uint64{1, deadly}, []uint64{1, 20 + uint64(round)}) // the second one is beside it
 		}
-		_, held := s.nodes[0].Quarantined([]uint64{1, deadly})
+		_, held := s.nodes[0].Quarantined(Request{Parts: []uint64{1, deadly}})
 		is.True(held)
-		_, held = s.nodes[0].Quarantined([]uint64{1, 30})
+		_, held = s.nodes[0].Quarantined(Request{Parts: []uint64{1, 30}})
 		is.True(!held)
 		crashUnder(s, 1, 3, []uint64{2, deadly}) // the rest of the prompt differs
 		for _, n := range s.nodes {
-			_, held = n.Quarantined([]uint64{3, deadly})
+			_, held = n.Quarantined(Request{Parts: []uint64{3, deadly}})
 			is.True(held)
-			_, held = n.Quarantined([]uint64{1, 30})
+			_, held = n.Quarantined(Request{Parts: []uint64{1, 30}})
 			is.True(!held)
 		}
 	})
@@ -122,16 +122,16 @@
 		for round := range minCrashes {
 			crashUnder(s, round, round, []uint64{7})
 		}
-		_, held := s.nodes[2].Quarantined([]uint64{7, 8})
+		_, held := s.nodes[2].Quarantined(Request{Parts: []uint64{7, 8}})
 		is.True(held)
 		s.nodes[1].Survived([]uint64{7}, time.Now()) // it was under way
 		time.Sleep(time.Second)
 		for _, n := range s.nodes {
-			_, held = n.Quarantined([]uint64{7, 8})
+			_, held = n.Quarantined(Request{Parts: []uint64{7, 8}})
 			is.True(!held)
 		}
 		crashUnder(s, 0, 3, []uint64{7})
-		_, held = s.nodes[0].Quarantined([]uint64{7, 8})
+		_, held = s.nodes[0].Quarantined(Request{Parts: []uint64{7, 8}})
 		is.True(!held)
 	})
 }
@@ -146,14 +146,14 @@
 		for round := range minCrashes {
 			crashUnder(s, 0, round, []uint64{deadly})
 		}
-		until, held := s.nodes[1].Quarantined([]uint64{deadly})
+		until, held := s.nodes[1].Quarantined(Request{Parts: []uint64{deadly}})
 		is.True(held)
 		is.True(time.Until(until) <= minTerm)
 		time.Sleep(minTerm)
-		_, held = s.nodes[1].Quarantined([]uint64{deadly})
+		_, held = s.nodes[1].Quarantined(Request{Parts: []uint64{deadly}})
 		is.True(!held)
 		crashUnder(s, 1, 0, []uint64{deadly})
-		until, held = s.nodes[0].Quarantined([]uint64{deadly})
+		until, held = s.nodes[0].Quarantined(Request{Parts: []uint64{deadly}})
 		is.True(held)
 		is.True(time.Until(until) > minTerm)
 		time.Sleep(8 * minTerm)
@@ -170,7 +170,7 @@
 		s := newTestSite(t.Context(), 1, 4, 1)
 		defer s.end()
 		for range 10 {
-			s.nodes[0].Broke("e1", engineAddress(1), []uint64{5})
+			s.nodes[0].Broke("e1", engineAddress(1), Attempt{Request: Request{Parts: []uint64{5}}})
 			time.Sleep(3 * time.Second)
 		}
 		is.Equal(s.nodes[0].count.Load(), int64(0))
@@ -188,7 +188,7 @@
 		defer s.end()
 		for part := range uint64(4 * maxSuspects) {
 			s.crash(s.engines[part%4])
-			s.nodes[0].Broke(s.engines[part%4].name, engineAddress(int(part%4)), []uint64{part, part + 1_000_000})
+			s.nodes[0].Broke(s.engines[part%4].name, engineAddress(int(part%4)), Attempt{Request: Request{Parts: []uint64{part, part + 1_000_000}}})
 			time.Sleep(500 * time.Millisecond)
 		}
 		for _, n := range s.nodes {
--- a/internal/quarantiner/suspect.go
+++ b/internal/quarantiner/suspect.go
@@ -32,26 +32,43 @@
 	// engine is the hash of the engine's name.
 	engine uint64
 	at     time.Time
+	// sent is when a request of the suspect was last sent to the engine.
+	sent time.Time
 }
 
-// suspect is a part under which engines crashed.
+// suspect is a part of prompts, or a request as a whole, under which engines crashed.
 type suspect struct {
 	part uint64
-	// crashes are the newest crashes at which a prompt with the part was about to be answered, in order.
+	// whole is set if part is the hash of a request as a whole.
+	whole bool
+	// crashes are the newest crashes at which a prompt with the part was about to be answered, or the request was running, in
+	// order.
 	crashes []crashRecord
 	// common are the parts that all those prompts have in common, with this one.
 	common []uint64
-	// soundAt is when an engine last began to answer a prompt with the part; zero if none did.
+	// soundAt is when an engine last began to answer a prompt with the part, or completed the answer to the request; zero if
+	// none did.
 	soundAt time.Time
 	// until is the end of the last quarantine, and term its length; zero if there was none.
 	until time.Time
 	term  time.Duration
 }
 
+// kind names the suspect's kind in logs.
+func (s *suspect) kind() string {
+	if s.whole {
+		return "whole"
+	}
+	return "part"
+}
+
 // addCrash adds a crash and the parts of a prompt that was about to be answered. It reports whether it is new.
 func (s *suspect) addCrash(crash crashRecord, prompt []uint64) bool {
 	s.narrow(prompt)
-	if s.has(crash) {
+	if i := s.find(crash); i >= 0 {
+		if crash.sent.After(s.crashes[i].sent) {
+			s.crashes[i].sent = crash.sent
+		}
 		return false
 	}
 	s.crashes = append(s.crashes, crash)
@@ -62,13 +79,16 @@
 	return true
 }
 
-// has reports whether a crash is known.
-func (s *suspect) has(crash crashRecord) bool {
-	return slices.ContainsFunc(s.crashes, func(known crashRecord) bool {
+// find returns the index of a crash that is known, or a negative number.
+func (s *suspect) find(crash crashRecord) int {
+	return slices.IndexFunc(s.crashes, func(known crashRecord) bool {
 		return known.engine == crash.engine && crash.at.Sub(known.at).Abs() < minDowntime
 	})
 }
 
+// has reports whether a crash is known.
+func (s *suspect) has(crash crashRecord) bool { return s.find(crash) >= 0 }
+
 // covers reports whether all of some crashes are known.
 func (s *suspect) covers(crashes []crashRecord) bool {
 	return !slices.ContainsFunc(crashes, func(crash crashRecord) bool { return !s.has(crash) })
@@ -76,6 +96,9 @@
 
 // narrow removes the parts that a prompt lacks from those in common.
 func (s *suspect) narrow(prompt []uint64) {
+	if s.whole {
+		return
+	}
 	if s.common == nil {
 		s.common = slices.Clone(prompt[:min(len(prompt), maxCommon)])
 		return
@@ -92,13 +115,13 @@
 }
 
 // counted returns the crashes that count against the part: those since an engine began to answer a prompt with it and
-// since its last quarantine. Simultaneous ones count once.
+// since its last quarantine. Simultaneous ones count once, unless the same request was sent on after the one before.
 func (s *suspect) counted(now time.Time) []crashRecord {
 	var counted []crashRecord
 	for _, crash := range s.crashes {
 		switch {
 		case !crash.at.After(s.soundAt) || !crash.at.After(s.until) || now.Sub(crash.at) > minTerm:
-		case len(counted) > 0 && crash.at.Sub(counted[len(counted)-1].at) < simultaneous:
+		case len(counted) > 0 && s.coincide(counted[len(counted)-1], crash):
 		default:
 			counted = append(counted, crash)
 		}
@@ -106,6 +129,12 @@
 	return counted
 }
 
+// coincide reports whether two crashes, one after the other, may have a common cause that is not the suspect.
+func (s *suspect) coincide(former, crash crashRecord) bool {
+	resent := s.whole && crash.sent.After(former.at)
+	return crash.at.Sub(former.at) < simultaneous && !resent
+}
+
 // due reports whether the part has to be quarantined. One crash suffices soon after a quarantine.
 func (s *suspect) due(now time.Time) bool {
 	if s.held(now) {
--- a/internal/quarantiner/testsite_test.go
+++ b/internal/quarantiner/testsite_test.go
@@ -63,6 +63,8 @@
 	// crashes are the times of crashes, deadlyAt those at which deadly prompts reached engines.
 	crashes  []time.Time
 	deadlyAt []time.Time
+	// repeatsAt are the times at which a request that comes again reached engines.
+	repeatsAt []time.Time
 	// sent and refused count sound prompts.
 	sent, refused int
 	bytes         int
@@ -190,7 +192,7 @@
 	for _, part := range parts {
 		isDeadly = isDeadly || part == deadly
 	}
-	if _, held := n.Quarantined(parts); held {
+	if _, held := n.Quarantined(Request{Parts: parts}); held {
 		s.count(isDeadly, true)
 		return
 	}
@@ -207,12 +209,12 @@
 	address := engineAddress(index)
 	e := s.engines[index]
 	if !s.wait(p, time.Duration(50+s.intN(400))*time.Millisecond) { // until the answer begins
-		n.Broke(e.name, address, parts)
+		n.Broke(e.name, address, Attempt{Request: Request{Parts: parts}})
 		return
 	}
 	if isDeadly {
 		s.crash(e)
-		n.Broke(e.name, address, parts)
+		n.Broke(e.name, address, Attempt{Request: Request{Parts: parts}})
 		return
 	}
 	began := time.Now()
@@ -224,6 +226,63 @@
 	s.mu.Unlock()
 }
 
+// repeat sends a request that crashes engines again and again, for a span of time, to the given instances.
+func (s *testSite) repeat(span, interval time.Duration, whole uint64, instances ...int) {
+	var group sync.WaitGroup
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		number := instances[s.intN(len(instances))]
+		group.Go(func() { s.sendWhole(number, whole) })
+		time.Sleep(interval/2 + time.Duration(s.intN(int(interval))))
+	}
+	group.Wait()
+}
+
+// sendWhole sends a request that crashes its engine.
+func (s *testSite) sendWhole(number int, whole uint64) {
+	n := s.instance(number)
+	request := Request{
+		Whole: whole,
+	}
+	if _, held := n.Quarantined(request); held {
+		return
+	}
+	p := &testPrompt{
+		node:  n,
+		broke: make(chan struct{}),
+	}
+	index := s.admit(p)
+	if index < 0 {
+		return
+	}
+	attempt := Attempt{
+		Request: request,
+		Sent:    time.Now(),
+	}
+	s.mu.Lock()
+	s.repeatsAt = append(s.repeatsAt, time.Now())
+	s.mu.Unlock()
+	if s.wait(p, time.Duration(20+s.intN(500))*time.Millisecond) {
+		s.crash(s.engines[index])
+	}
+	n.Broke(s.engines[index].name, engineAddress(index), attempt)
+}
+
+// lateRepeats returns how often the request reached engines later than the users' bound after its third crash.
+func (s *testSite) lateRepeats() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.crashes) < 3 {
+		return 0
+	}
+	late := 0
+	for _, at := range s.repeatsAt {
+		if at.Sub(s.crashes[2]) > 3*time.Second {
+			late++
+		}
+	}
+	return late
+}
+
 // engineAddress returns an address whose port is the engine's number.
 func engineAddress(number int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, 0}), uint16(number))
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -47,7 +47,8 @@
 		"prompt":  e.facts.PromptTokens,
 		"answer":  e.facts.AnswerTokens,
 		"bytes":   len(e.body),
-		"parts":   formatParts(e.sharedParts),
+		"parts":   formatParts(e.recognized.Parts),
+		"whole":   strconv.FormatUint(e.recognized.Whole, 16),
 		"left":    e.timeLeft(),
 	})
 }
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/claimer"
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
+	"github.com/buckthorngap/buckthorngap/internal/quarantiner"
 	"github.com/buckthorngap/buckthorngap/internal/queuer"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/pkg/configurator"
@@ -64,8 +65,8 @@
 	routed bool
 	route  configurator.Route
 	facts  Facts
-	// sharedParts are the names of the parts of the prompt that other requests may have, too: all but the last.
-	sharedParts []uint64
+	// recognized is what a routed request is recognized by when upstreams crash under it.
+	recognized quarantiner.Request
 }
 
 // resources holds what a request holds until it ends.
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -4,44 +4,58 @@
 	"net/netip"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/forwarder"
+	"github.com/buckthorngap/buckthorngap/internal/quarantiner"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
-// Quarantine has the functions through which the server learns which prompts crash engines, and tells what it sees. All are
+// Quarantine has the functions through which the server learns which requests crash upstreams, and tells what it sees. All are
 // set, or none.
 type Quarantine struct {
-	// Check reports whether a prompt with these shared parts must not be sent, and until when.
-	Check func(parts []uint64) (until time.Time, held bool)
+	// Check reports whether a request must not be sent, and until when.
+	Check func(request quarantiner.Request) (until time.Time, held bool)
 	// ReportBegun is called with the shared parts of a prompt that an engine began to answer at a time.
 	ReportBegun func(parts []uint64, at time.Time)
-	// ReportBroken is called with the shared parts of a prompt whose connection to an engine broke before that.
-	ReportBroken func(engine string, address netip.AddrPort, parts []uint64)
+	// ReportComplete is called with the hash of a request whose answer an upstream completed at a time.
+	ReportComplete func(whole uint64, at time.Time)
+	// ReportBroken is called with a request whose connection to an upstream broke before that.
+	ReportBroken func(upstream string, address netip.AddrPort, attempt quarantiner.Attempt)
 }
 
-// refuseIfQuarantined returns a refusal if the prompt has a part under which engines crash.
+// refuseIfQuarantined returns a refusal if upstreams crash under the request or a part of its prompt.
 func (e *exchange) refuseIfQuarantined() *refuser.Refusal {
 	check := e.server.config.Quarantine.Check
-	if check == nil || e.need.Checkpoint == "" {
+	if check == nil {
 		return nil
 	}
-	until, held := check(e.sharedParts)
+	until, held := check(e.recognized)
 	if !held {
 		return nil
 	}
-	refusal := newRefusal(refuser.CodeQuarantined, "engines crashed under a part of the prompt")
+	refusal := newRefusal(refuser.CodeQuarantined, "upstreams crashed under the request or a part of its prompt")
 	refusal.RetryAt = until
 	return refusal
 }
 
 func (e *exchange) reportBegun(at time.Time) {
-	if report := e.server.config.Quarantine.ReportBegun; report != nil && e.need.Checkpoint != "" {
-		report(e.sharedParts, at)
+	if report := e.server.config.Quarantine.ReportBegun; report != nil {
+		report(e.recognized.Parts, at)
 	}
 }
 
-func (e *exchange) reportBroken(engine string, address netip.AddrPort) {
-	if report := e.server.config.Quarantine.ReportBroken; report != nil && e.need.Checkpoint != "" {
-		report(engine, address, e.sharedParts)
+func (e *exchange) reportComplete(at time.Time) {
+	if report := e.server.config.Quarantine.ReportComplete; report != nil {
+		report(e.recognized.Whole, at)
+	}
+}
+
+func (e *exchange) reportBroken(broken forwarder.Break) {
+	if report := e.server.config.Quarantine.ReportBroken; report != nil {
+		report(broken.Upstream, broken.Address, quarantiner.Attempt{
+			Request: e.recognized,
+			Sent:    broken.Sent,
+			Begun:   broken.Begun,
+		})
 	}
 }
 
--- a/internal/server/quarantine_test.go
+++ b/internal/server/quarantine_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/buckthorngap/buckthorngap/internal/quarantiner"
 	"github.com/buckthorngap/buckthorngap/internal/server"
 )
 
@@ -33,11 +34,12 @@
 	is.True(ok)
 	f := newRoutedFixture(t, server.Config{
 		Quarantine: server.Quarantine{
-			Check: func(parts []uint64) (time.Time, bool) {
-				return until, len(parts) == 2 && parts[1] == deadly[0].Name
+			Check: func(request quarantiner.Request) (time.Time, bool) {
+				return until, len(request.Parts) == 2 && request.Parts[1] == deadly[0].Name
 			},
-			ReportBegun:  func([]uint64, time.Time) {},
-			ReportBroken: func(string, netip.AddrPort, []uint64) {},
+			ReportBegun:    func([]uint64, time.Time) {},
+			ReportComplete: func(uint64, time.Time) {},
+			ReportBroken:   func(string, netip.AddrPort, quarantiner.Attempt) {},
 		},
 	}, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	began := time.Now()
@@ -48,3 +50,41 @@
 	is.Equal(len(f.requests), 0)
 	is.Equal(len(f.reserved), 0)
 }
+
+// TestQuarantinedRequestIsRefusedAtOnce guards against a request that crashes the servers of a plain service and is sent to
+// them once more, with another identity or method, and against others that are refused with it.
+func TestQuarantinedRequestIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	var seen []uint64
+	held := uint64(0)
+	f := newRoutedFixture(t, server.Config{
+		Quarantine: server.Quarantine{
+			Check: func(request quarantiner.Request) (time.Time, bool) {
+				seen = append(seen, request.Whole)
+				return time.Now().Add(time.Minute), held != 0 && request.Whole == held
+			},
+			ReportBegun:    func([]uint64, time.Time) {},
+			ReportComplete: func(whole uint64, _ time.Time) { held = whole },
+			ReportBroken:   func(string, netip.AddrPort, quarantiner.Attempt) {},
+		},
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Receipt", "r")
+		w.WriteHeader(http.StatusOK)
+	})
+	response, _ := f.send(t, http.MethodPost, "/open/x", "body")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(held != 0)
+	first := held
+	sent, reserved := len(f.requests), len(f.reserved)
+	response, _ = f.send(t, http.MethodPut, "/open/x", "body")
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Header.Get("Retry-After") != "")
+	is.Equal(len(f.requests), sent)
+	is.Equal(len(f.reserved), reserved)
+	for _, other := range [][2]string{{"/open/y", "body"}, {"/open/x", "bodies"}, {"/open/xb", "ody"}} {
+		response, _ = f.send(t, http.MethodPost, other[0], other[1])
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.True(seen[len(seen)-1] != first)
+		held = first
+	}
+}
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -13,6 +13,7 @@
 
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
+	"github.com/buckthorngap/buckthorngap/internal/quarantiner"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
@@ -59,7 +60,7 @@
 		if err != nil {
 			return nil, newRefusal(refuser.CodeBadRequest, err.Error())
 		}
-		e.facts, e.sharedParts = facts, sharedParts(facts.Parts)
+		e.facts = facts
 		deadline := facts.Deadline
 		if deadline.IsZero() {
 			deadline = e.started.Add(s.config.InteractiveTimeout)
@@ -97,6 +98,10 @@
 		if refusal := e.readBody(); refusal != nil {
 			return nil, refusal
 		}
+		e.recognized = quarantiner.Request{
+			Parts: sharedParts(e.facts.Parts),
+			Whole: quarantiner.IdentifyWhole(e.key.Team, e.request.RequestURI, e.body),
+		}
 		return next(ctx, e)
 	}
 }
@@ -111,6 +116,10 @@
 		e.need = router.Need{
 			Service: e.service.Name,
 		}
+		if refusal := e.refuseIfQuarantined(); refusal != nil {
+			e.logResolved()
+			return nil, refusal
+		}
 		if e.service.Engine == nil || e.facts.Model == "" {
 			e.logResolved()
 			return next(ctx, e)
@@ -134,9 +143,6 @@
 		e.need.Tokens = e.facts.PromptTokens + e.facts.AnswerTokens
 		e.need.Parts = e.promptParts()
 		e.logResolved()
-		if refusal := e.refuseIfQuarantined(); refusal != nil {
-			return nil, refusal
-		}
 		return next(ctx, e)
 	}
 }
@@ -291,6 +297,7 @@
 		Reacquire:       func(upstream string) (*router.Choice, bool) { return e.reacquire(ctx, upstream) },
 		ReportNotLoaded: e.markMissing,
 		ReportBegun:     e.reportBegun,
+		ReportComplete:  e.reportComplete,
 		ReportBroken:    e.reportBroken,
 		Check:           e.recheck,
 		Begin:           e.startRoutedResponse,
