--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -78,19 +78,19 @@
 		}
 	}
 	l.renew(now, update.Renewed)
+	return append(changed, l.dropAbsent(now, update, present)...)
+}
+
+// dropAbsent removes the upstreams whose entries an update deletes or, if it is complete, lacks, and returns their names.
+func (l *Lister) dropAbsent(now time.Time, update follower.Update, present map[string]bool) []string {
+	names := make([]string, 0, len(update.Deleted))
 	for _, key := range update.Deleted {
-		if name := l.name(key); !present[name] && l.drop(now, name) {
-			changed = append(changed, name)
-		}
+		names = append(names, l.name(key))
 	}
 	if update.Complete {
-		for name := range l.rows {
-			if !present[name] && l.drop(now, name) {
-				changed = append(changed, name)
-			}
-		}
+		names = slices.AppendSeq(names, maps.Keys(l.rows))
 	}
-	return changed
+	return slices.DeleteFunc(names, func(name string) bool { return present[name] || !l.drop(now, name) })
 }
 
 // name returns the name of the upstream that a key belongs to.
