Keep streams that are taken up again at the software version that began them

Cause: no part knew an engine's version, nor the attempt that a caller takes up. Change: internal/resumer. The store lists the versions of a service that may have live streams; a version begins streams only once it has been listed for longer than an instance may rely on its copy of the list. One listed version began all streams; of several, the instances record and tell each other which stream began where. What is not known for certain is refused, not run.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -22,6 +22,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/queuer"
 	"github.com/buckthorngap/buckthorngap/internal/relayer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
+	"github.com/buckthorngap/buckthorngap/internal/resumer"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/internal/server"
 	"github.com/buckthorngap/buckthorngap/internal/stager"
@@ -95,6 +96,7 @@
 	rewriter    *rewriter
 	follower    *follower.Follower
 	relayer     *relayer.Relayer
+	resumer     *resumer.Resumer
 	probe       *dumper.Probe
 	// wasReady is the last readiness that was computed; a change is logged.
 	wasReady atomic.Bool
@@ -136,6 +138,10 @@
 				Read:   f.adopter.Attachment,
 				Handle: f.adopter.HandleAttachment,
 			},
+			{
+				Read:   f.resumer.Attachment,
+				Handle: f.resumer.HandleAttachment,
+			},
 		},
 	})
 	f.wireQuarantine()
@@ -144,7 +150,7 @@
 	f.wireFrontRequests()
 	f.wireStager()
 	f.wireProbes()
-	f.registerHandlers(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers(), f.relayer.Handlers(), f.pacer.Handlers(), f.quarantiner.Handlers(), f.adopter.Handlers())
+	f.registerHandlers(f.tracker.Handlers(), f.holder.Handlers(), f.limiter.Handlers(), f.stager.Handlers(), f.relayer.Handlers(), f.pacer.Handlers(), f.quarantiner.Handlers(), f.adopter.Handlers(), f.resumer.Handlers())
 	enlisted, err := enlister.New(enlister.Config{
 		Name:    settings.Name,
 		Domain:  settings.Domain,
@@ -215,9 +221,14 @@
 		LoadAdapter: func(ctx context.Context, choice *router.Choice, need router.Need) error {
 			return f.stager.LoadAdapter(ctx, choice, need)
 		},
-		AddDemand:          func(ticket queuer.Ticket) { f.addDemand(ticket) },
-		FinishWithdrawn:    f.config.FinishWithdrawn,
-		Quarantine:         f.quarantineFunctions(),
+		AddDemand:       func(ticket queuer.Ticket) { f.addDemand(ticket) },
+		FinishWithdrawn: f.config.FinishWithdrawn,
+		Quarantine:      f.quarantineFunctions(),
+		Streams: server.Streams{
+			Versions:    f.resumer.Versions,
+			Resume:      f.resumer.Resume,
+			ReportBegun: f.resumer.Began,
+		},
 		Forwarder:          f.forwarder,
 		MaxBodyBytes:       callers.Body,
 		BodyMemoryBytes:    f.config.BodyMemoryBytes,
@@ -292,6 +303,7 @@
 			"routing":       f.router.Dump,
 			"pacing":        f.pacer.Dump,
 			"quarantine":    f.quarantiner.Dump,
+			"versions":      f.resumer.Dump,
 			"loads":         f.stager.Dump,
 			"requests":      f.server.Dump,
 		},
@@ -341,6 +353,7 @@
 		withoutError(f.stager.Run),
 		withoutError(f.pacer.Run),
 		withoutError(f.quarantiner.Run),
+		withoutError(f.resumer.Run),
 		withoutError(f.queuer.Run),
 		withoutError(f.forwarder.Run),
 		withoutError(f.refreshRouter),
--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -11,6 +11,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/lister"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/relayer"
+	"github.com/buckthorngap/buckthorngap/internal/resumer"
 	"github.com/buckthorngap/buckthorngap/internal/stager"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
@@ -56,6 +57,17 @@
 		Now:          f.now,
 		Log:          f.log,
 	})
+	f.resumer = resumer.New(resumer.Config{
+		Store:     f.store,
+		Upstreams: f.upstreams.Upstreams,
+		Confirmed: f.relayer.Confirmed,
+		Peers:     f.allPeers,
+		Call: func(ctx context.Context, to messenger.Peer, topic string, payload []byte) ([]byte, error) {
+			return f.messenger.Call(ctx, to, topic, payload)
+		},
+		Now: f.now,
+		Log: f.log,
+	})
 	f.follower = follower.New(follower.Config{
 		Store:          f.store,
 		WatchInterval:  f.relayer.ReadInterval,
@@ -70,10 +82,10 @@
 	})
 }
 
-// relevant reports whether the follower tracks an entry of the store: the configuration, upstreams
-// and instances. All other entries are read by the parts that write them.
+// relevant reports whether the follower tracks an entry of the store: the configuration, upstreams,
+// instances and versions. All other entries are read by the parts that write them.
 func (f *Front) relevant(key string) bool {
-	return key == f.config.Configuration.Key || strings.HasPrefix(key, f.config.Upstreams.Prefix) || strings.HasPrefix(key, enlister.Prefix)
+	return key == f.config.Configuration.Key || strings.HasPrefix(key, resumer.Prefix) || strings.HasPrefix(key, f.config.Upstreams.Prefix) || strings.HasPrefix(key, enlister.Prefix)
 }
 
 // compared returns the part of an entry's value whose change counts as an update.
@@ -136,6 +148,7 @@
 	f.adopter.Apply(update)
 	f.instances.Apply(update)
 	f.upstreams.Apply(update)
+	f.resumer.Apply(update)
 	f.router.Refresh()
 	if update.Restored {
 		f.rewrite()
--- a/internal/forwarder/routedrequest.go
+++ b/internal/forwarder/routedrequest.go
@@ -42,6 +42,9 @@
 	Reacquire func(upstream string) (*router.Choice, bool)
 	// ReportNotLoaded is called with an upstream that has not loaded what the request needs; may be nil.
 	ReportNotLoaded func(upstream string)
+	// ReportStream is called with the software version of the upstream before the first part of a stream is passed on; may
+	// be nil.
+	ReportStream func(version string)
 	// ReportBegun is called once an attempt's answer has gone on for a while or is complete, with the time at which it
 	// began; nil means that nobody needs to know.
 	ReportBegun func(at time.Time)
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -46,6 +46,8 @@
 	// errorAnswer is an upstream's own error answer (status 500 and up), which is delivered if no other
 	// upstream gives a complete answer; nil if there was none.
 	errorAnswer *bufferedAnswer
+	// version is the software version of the upstream of the last attempt.
+	version string
 	// sentAt is when the last attempt was sent.
 	sentAt time.Time
 	// firstByteAt is when the first byte of the body of the last attempt's stream arrived, or the head of another answer;
@@ -201,7 +203,7 @@
 		metadata.TimeLeft = deadline.Sub(f.config.Now())
 	}
 	f.config.Dialect.WriteRequest(header, metadata)
-	r.sentAt = f.config.Now()
+	r.sentAt, r.version = f.config.Now(), choice.Version
 	response, err := f.send(ctx, choice, a, &outgoingRequest{
 		method:  c.Method,
 		address: choice.Address,
@@ -322,6 +324,9 @@
 			begun = true
 			r.firstByteAt = r.forwarder.config.Now()
 			r.result.FirstTokenAt = r.firstByteAt
+			if r.routed.ReportStream != nil {
+				r.routed.ReportStream(r.version)
+			}
 			r.routed.Begin(response.StatusCode, answerHeaders(response.Header), response.ContentLength)
 		}
 		end.add(buffer[:n])
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -152,7 +152,7 @@
 		"engine":  engine,
 		"crashes": len(s.counted(q.config.Now())),
 		"common":  len(s.common),
-	}).Info(s.kind() + ".suspected")
+	}).Info("part.suspected")
 }
 
 // suspect returns the suspect for a part or, if whole is set, a request, and creates it if necessary. The mutex is held.
@@ -231,7 +231,7 @@
 		if !wasSound && s.sound() {
 			s.release()
 			changed[part] = true
-			q.config.Log.WithField(s.kind(), formatPart(part)).Info(s.kind() + ".sound")
+			q.config.Log.WithField(s.kind(), formatPart(part)).Info("part.sound")
 		}
 	}
 	q.tell(changed)
@@ -311,7 +311,7 @@
 			"crashes": crashes,
 			"common":  len(s.common),
 			"term":    s.term,
-		}).Warn(s.kind() + ".quarantined")
+		}).Warn("part.quarantined")
 	}
 	q.prune(now)
 	q.tell(changed)
--- a/internal/quarantiner/suspect.go
+++ b/internal/quarantiner/suspect.go
@@ -54,7 +54,7 @@
 	term  time.Duration
 }
 
-// kind names the suspect's kind in logs.
+// kind is the log field that the suspect's hash stands in.
 func (s *suspect) kind() string {
 	if s.whole {
 		return "whole"
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -70,6 +70,13 @@
 	r.history.add(update, asOf)
 }
 
+// Confirmed returns when the store confirmed that the state shared with others was current; zero if it never did.
+func (r *Relayer) Confirmed() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history.asOf
+}
+
 // ReadInterval returns the time between two requests to the store or to a reader.
 func (r *Relayer) ReadInterval() time.Duration {
 	if len(r.readers()) == 0 {
--- a/internal/router/candidatecounts.go
+++ b/internal/router/candidatecounts.go
@@ -4,7 +4,7 @@
 
 // CandidateCounts counts the candidates for a request by what keeps them from serving it, for the request log.
 type CandidateCounts struct {
-	// Total is the number of upstreams with the requested checkpoint or service.
+	// Total is the number of upstreams with the requested checkpoint or service, of a version that suits the request.
 	Total int
 	// WithoutAdapter is how many of them have not loaded the adapter.
 	WithoutAdapter int
@@ -23,6 +23,9 @@
 	now := r.config.Now()
 	var counts CandidateCounts
 	for _, u := range r.index.Load().candidates(&need) {
+		if !need.suits(*u.version.Load()) {
+			continue
+		}
 		counts.Total++
 		if need.Adapter != "" && !u.hasAdapter(&need) {
 			counts.WithoutAdapter++
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -13,6 +13,8 @@
 	Upstream string
 	// Address is the listen address of the upstream.
 	Address netip.AddrPort
+	// Version is the version of the upstream's software.
+	Version string
 	// Busy is the number of requests that ran or waited at the upstream when it was
 	// chosen, including this one; Slots is the number that it runs concurrently.
 	Busy  int
--- a/internal/router/need.go
+++ b/internal/router/need.go
@@ -1,5 +1,7 @@
 package router
 
+import "slices"
+
 // Need describes what a request requires of an upstream.
 type Need struct {
 	// Checkpoint is the model version that must be loaded and ready; empty for a request to a service.
@@ -20,6 +22,9 @@
 	Tokens int64
 	// Exclude names upstreams that were tried already.
 	Exclude []string
+	// Versions are the software versions of the upstreams that suit the request, if Versioned is set.
+	Versions  []string
+	Versioned bool
 	// Waits is set if the request can wait for the permit of an upstream with a limit, rather than go to an
 	// upstream that suits it less.
 	Waits bool
@@ -27,3 +32,8 @@
 	// awaitsPermit is set once a permit has been asked for, so that no other upstream is chosen.
 	awaitsPermit bool
 }
+
+// suits reports whether the request may go to an upstream that runs a software version.
+func (n *Need) suits(version string) bool {
+	return !n.Versioned || slices.Contains(n.Versions, version)
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -22,6 +22,8 @@
 	hash uint64
 	// service is the name of the service that the upstream runs; may be empty for engines.
 	service atomic.Pointer[string]
+	// version is the version of the upstream's software.
+	version atomic.Pointer[string]
 	// engine is set if the upstream runs models.
 	engine atomic.Bool
 	// domain is the upstream's failure domain.
@@ -68,6 +70,7 @@
 	}
 	u.snapshot.Store(&snapshot{})
 	u.domain.Store(new(string))
+	u.version.Store(new(string))
 	return u
 }
 
@@ -83,6 +86,7 @@
 // applyListing applies the upstream's entry in the platform's list.
 func (u *upstream) applyListing(row storer.Instance, domain string) {
 	u.service.Store(&row.Service)
+	u.version.Store(&row.Version)
 	u.engine.Store(row.Role == storer.RoleEngine)
 	u.domain.Store(&row.Domain)
 	u.sameDomain.Store(row.Domain == domain)
@@ -148,7 +152,7 @@
 // with the adapter unless that may be loaded first.
 func (u *upstream) canServe(need *Need) bool {
 	current := u.snapshot.Load()
-	if current.leaving || need.Service != "" && *u.service.Load() != need.Service {
+	if current.leaving || !need.suits(*u.version.Load()) || need.Service != "" && *u.service.Load() != need.Service {
 		return false
 	}
 	if need.Checkpoint == "" {
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -40,16 +40,18 @@
 // logResolved logs what the request needs of an upstream and which team its key belongs to.
 func (e *exchange) logResolved() {
 	e.event("request.aimed", logrus.Fields{
-		"team":    e.key.Team,
-		"service": e.service.Name,
-		"model":   e.facts.Model,
-		"adapter": e.facts.Adapter,
-		"prompt":  e.facts.PromptTokens,
-		"answer":  e.facts.AnswerTokens,
-		"bytes":   len(e.body),
-		"parts":   formatParts(e.recognized.Parts),
-		"whole":   strconv.FormatUint(e.recognized.Whole, 16),
-		"left":    e.timeLeft(),
+		"team":     e.key.Team,
+		"service":  e.service.Name,
+		"model":    e.facts.Model,
+		"adapter":  e.facts.Adapter,
+		"prompt":   e.facts.PromptTokens,
+		"answer":   e.facts.AnswerTokens,
+		"bytes":    len(e.body),
+		"parts":    formatParts(e.recognized.Parts),
+		"whole":    strconv.FormatUint(e.recognized.Whole, 16),
+		"versions": e.need.Versions,
+		"resumes":  e.facts.Resumes,
+		"left":     e.timeLeft(),
 	})
 }
 
--- a/internal/server/facts.go
+++ b/internal/server/facts.go
@@ -26,6 +26,9 @@
 	Parts []router.PromptPart
 	// Deadline is the time until which the caller waits; zero if not given.
 	Deadline time.Time
+	// Resumes is the identity of the attempt that brought the first event of the stream that goes on; empty if the caller does
+	// not tell, or for a new stream.
+	Resumes string
 	// LastEventID is the identity of the last event of a stream that the caller has received.
 	LastEventID string
 }
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -124,6 +124,10 @@
 			e.logResolved()
 			return next(ctx, e)
 		}
+		if refusal := e.restrictVersion(ctx); refusal != nil {
+			e.logResolved()
+			return nil, refusal
+		}
 		model, ok := snapshot.Model(e.facts.Model)
 		if !ok {
 			return nil, newRefusal(refuser.CodeNoModel, "the model is not known")
@@ -233,6 +237,9 @@
 	if refusal := e.refuseIfCooling(); refusal != nil {
 		return refusal
 	}
+	if refusal := e.refuseIfNotServed(); refusal != nil {
+		return refusal
+	}
 	if e.need.Checkpoint == "" || config.CountReady == nil || config.CountReady(e.need.Checkpoint) > 0 {
 		return nil
 	}
@@ -296,6 +303,7 @@
 		PickNext:        e.nextUpstream,
 		Reacquire:       func(upstream string) (*router.Choice, bool) { return e.reacquire(ctx, upstream) },
 		ReportNotLoaded: e.markMissing,
+		ReportStream:    e.reportStream,
 		ReportBegun:     e.reportBegun,
 		ReportComplete:  e.reportComplete,
 		ReportBroken:    e.reportBroken,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -83,6 +83,8 @@
 	CountReady func(checkpoint string) int
 	// Quarantine has the functions for prompts that crash engines.
 	Quarantine Quarantine
+	// Streams keep streams at the software version that began them; unset if every version may go on with them.
+	Streams Streams
 	// Forwarder sends requests to upstreams.
 	Forwarder *forwarder.Forwarder
 	// MaxBodyBytes is the size of the largest request body, in bytes.
--- a/pkg/refuser/refusal.go
+++ b/pkg/refuser/refusal.go
@@ -42,6 +42,8 @@
 	CodeStore Code = "store_unavailable"
 	// CodeStarting means that the instance does not know the configuration yet.
 	CodeStarting Code = "starting"
+	// CodeNoVersion means that the stream cannot go on, because the software version that began it is not known or not served.
+	CodeNoVersion Code = "version_unavailable"
 	// CodeQuarantined means that the prompt has a part under which engines crashed.
 	CodeQuarantined Code = "prompt_quarantined"
 	// CodeStopping means that the instance is shutting down or the caller has disconnected.
@@ -89,6 +91,7 @@
 	CodeStore:          http.StatusServiceUnavailable,
 	CodeStarting:       http.StatusServiceUnavailable,
 	CodeStopping:       http.StatusServiceUnavailable,
+	CodeNoVersion:      http.StatusServiceUnavailable,
 	CodeQuarantined:    http.StatusServiceUnavailable,
 }
 
--- a/pkg/storer/instance.go
+++ b/pkg/storer/instance.go
@@ -26,6 +26,8 @@
 	Role Role `json:"role"`
 	// Service is the name of the service if the role is RoleService.
 	Service string `json:"service,omitempty"`
+	// Version is the version of its software; empty if unknown.
+	Version string `json:"version,omitempty"`
 	// Address is the address that it listens on, by QUIC for RoleEntry and by HTTP
 	// for the other roles.
 	Address netip.AddrPort `json:"address"`
