--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -19,6 +19,9 @@
 	checkInterval = 300 * time.Millisecond
 	// writeTimeout limits a write of a list.
 	writeTimeout = time.Second
+	// rereadInterval is the time after which the list of upstreams is read again without an update: an upstream may also go
+	// because it has not registered again.
+	rereadInterval = 5 * time.Second
 )
 
 // Resumer decides at which version a stream begins or goes on.
@@ -29,6 +32,11 @@
 	mu       sync.Mutex
 	services map[string]*serviceVersions
 	records  records
+	// engineVersions are the versions of the engines by service, as of engineVersionsAt; updated is set if they may have changed
+	// since.
+	engineVersions   map[string][]string
+	engineVersionsAt time.Time
+	updated          bool
 }
 
 // New returns a Resumer that knows no versions.
@@ -45,6 +53,7 @@
 	now := r.config.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.updated = true
 	if update.Complete {
 		for _, s := range r.services {
 			s.stored, s.revision = list{}, 0
@@ -180,14 +189,8 @@
 	if r.age() > maxAge {
 		return
 	}
-	known := map[string][]string{}
-	for _, upstream := range r.config.Upstreams() {
-		if upstream.Role == storer.RoleEngine && !slices.Contains(known[upstream.Service], upstream.Version) {
-			known[upstream.Service] = append(known[upstream.Service], upstream.Version)
-		}
-	}
 	now := r.config.Now()
-	for service, versions := range known {
+	for service, versions := range r.knownVersions(now) {
 		r.mu.Lock()
 		s := r.service(service)
 		next, changed := s.plan(versions, now)
@@ -199,6 +202,29 @@
 	}
 }
 
+// knownVersions returns the versions of the engines by service. It reads the list of upstreams again only after an update or
+// a while, since that is long at large sites.
+func (r *Resumer) knownVersions(now time.Time) map[string][]string {
+	r.mu.Lock()
+	known := r.engineVersions
+	current := known != nil && !r.updated && now.Sub(r.engineVersionsAt) < rereadInterval
+	r.updated = false
+	r.mu.Unlock()
+	if current {
+		return known
+	}
+	known = map[string][]string{}
+	for _, upstream := range r.config.Upstreams() {
+		if upstream.Role == storer.RoleEngine && !slices.Contains(known[upstream.Service], upstream.Version) {
+			known[upstream.Service] = append(known[upstream.Service], upstream.Version)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.engineVersions, r.engineVersionsAt = known, now
+	return known
+}
+
 // write stores a list unless it has changed meanwhile. What is written counts once the follower has read it.
 func (r *Resumer) write(ctx context.Context, service string, former, next list, expected storer.Revision) {
 	value, err := json.Marshal(next)
--- a/internal/resumer/testsite_test.go
+++ b/internal/resumer/testsite_test.go
@@ -176,8 +176,8 @@
 	}
 	former := n.services[testService]
 	update.Restored = former != nil && former.revision.Era() < s.era
-	n.Apply(update)
 	s.confirmed[number], s.known[number] = s.now, slices.Clone(s.versions)
+	n.Apply(update)
 }
 
 // step lets time pass, in which the instances read, write and exchange heartbeats.
