--- a/internal/app/local.go
+++ b/internal/app/local.go
@@ -17,10 +17,14 @@
 	// ServiceLimit is the number of requests per second that the plain service states as its limit; negative if
 	// it states none.
 	ServiceLimit float64
-	// DeadlyText makes the engines crash as they begin to answer a prompt that holds it; empty for none.
+	// DeadlyText makes the engines crash as they begin to answer a prompt that holds it, and the plain service as it runs a call
+	// whose body does; empty for none.
 	DeadlyText string
 	// StuckAfter is when the platform stops answering on the connections that were used until then; zero for never.
 	StuckAfter time.Duration
+	// RestoreInterval is the time after which the platform's store is restored from a copy that is half as old, again and again;
+	// zero for never.
+	RestoreInterval time.Duration
 }
 
 // The sizes of the local stand-ins: the number of engines, the weight store's speed in bytes a second,
@@ -55,6 +59,9 @@
 		time.AfterFunc(config.StuckAfter, site.stick)
 	}
 	group, running := errgroup.WithContext(ctx)
+	if config.RestoreInterval > 0 {
+		group.Go(func() error { return site.restore(running, config.RestoreInterval) })
+	}
 	group.Go(func() error { return instance.Run(running) })
 	group.Go(func() error { return site.runDemo(running, instance) })
 	return group.Wait()
--- a/internal/app/localsite.go
+++ b/internal/app/localsite.go
@@ -14,6 +14,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/emulator/servicer"
 	"github.com/buckthorngap/buckthorngap/internal/emulator/weigher"
 	"github.com/buckthorngap/buckthorngap/internal/parser"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -24,7 +25,7 @@
 	platform netip.AddrPort
 	// serviceLimit is the limit that the plain service states, in requests per second; negative for none.
 	serviceLimit float64
-	// deadlyText is the text of prompts under which the engines crash; empty for none.
+	// deadlyText is the text of prompts and bodies under which the upstreams crash; empty for none.
 	deadlyText string
 	store      *platformer.Platform
 }
@@ -63,6 +64,11 @@
 	service := servicer.New(servicer.Config{
 		Name: "crates1",
 	})
+	service.Faults().Set(faulter.Fault{
+		Kind:  faulter.Deadly,
+		Count: -1,
+		Text:  s.deadlyText,
+	})
 	if s.serviceLimit >= 0 {
 		service.Faults().Set(faulter.Fault{
 			Kind:  faulter.Limit,
@@ -92,6 +98,18 @@
 	})
 }
 
+// restore restores the store of the platform's stand-in at each interval from a copy that is half as old, until the context
+// ends. It returns nil.
+func (s *localSite) restore(ctx context.Context, interval time.Duration) error {
+	for waiter.Pause(ctx, interval/2) {
+		s.store.Save()
+		if waiter.Pause(ctx, interval/2) {
+			s.store.Restore()
+		}
+	}
+	return nil
+}
+
 // newInstance creates the instance, with an identity from an authority made for this run.
 func (s *localSite) newInstance(log io.Writer) (*Instance, error) {
 	settings := parser.Default()
--- a/internal/emulator/faulter/faulter.go
+++ b/internal/emulator/faulter/faulter.go
@@ -34,7 +34,8 @@
 	Fail Kind = "fail"
 	// Limit makes answers state a limit on the requests of all instances together. The limit is not enforced.
 	Limit Kind = "limit"
-	// Deadly makes an engine crash as it begins to answer a prompt that holds a text.
+	// Deadly makes an engine crash as it begins to answer a prompt that holds a text, and a service as it runs a call whose
+	// body does.
 	Deadly Kind = "deadly"
 )
 
--- a/internal/emulator/launcher/upstreams.go
+++ b/internal/emulator/launcher/upstreams.go
@@ -100,6 +100,7 @@
 	duration := command.Flag("time", "Duration of a call.").Default("1ms").Duration()
 	journal := command.Flag("journal", "Calls kept in the journal.").Default("50000").Int()
 	limit := command.Flag("limit", limitHelp).Default(noLimit).Float64()
+	deadly := command.Flag("deadly", "Text of bodies under which the service crashes.").String()
 	l.commands["service"] = func(ctx context.Context) error {
 		service := servicer.New(servicer.Config{
 			Name:    *name,
@@ -107,6 +108,11 @@
 			Journal: *journal,
 		})
 		stateLimit(service.Faults(), *limit)
+		service.Faults().Set(faulter.Fault{
+			Kind:  faulter.Deadly,
+			Count: -1,
+			Text:  *deadly,
+		})
 		return l.serve(ctx, *name, *listen, service)
 	}
 }
--- a/internal/emulator/servicer/servicer.go
+++ b/internal/emulator/servicer/servicer.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthorngap/buckthorngap/internal/emulator/faulter"
@@ -19,6 +20,9 @@
 // DefaultJournal is the default of Config.Journal.
 const DefaultJournal = 50_000
 
+// crashDowntime is how long the service is down after a crash under a deadly call.
+const crashDowntime = 3 * time.Second
+
 // Config configures a Servicer.
 type Config struct {
 	// Name is the service's name in the platform's list of instances.
@@ -44,6 +48,9 @@
 	calls  *recorder.Recorder[Call]
 	mux    *http.ServeMux
 
+	// down is set for a while after a crash.
+	down atomic.Bool
+
 	mu sync.Mutex
 	// counts maps each idempotency key to the number of calls that ran with it.
 	counts  map[string]int
@@ -74,8 +81,13 @@
 // Calls returns the journal's calls, oldest first.
 func (s *Servicer) Calls() []Call { return s.calls.Entries() }
 
-// ServeHTTP serves calls on any path, and the control paths for tests.
-func (s *Servicer) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+// ServeHTTP serves calls on any path, and the control paths for tests. After a crash it closes all connections for a while.
+func (s *Servicer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.down.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	s.mux.ServeHTTP(w, r)
+}
 
 // serveCall runs a call and adds it to the journal. Of the injected faults, Cut
 // and Refuse act before the call runs, and Lost after it.
@@ -98,6 +110,11 @@
 	if s.config.Time > 0 {
 		time.Sleep(s.config.Time)
 	}
+	if s.faults.Deadly(string(body)) {
+		s.down.Store(true)
+		time.AfterFunc(crashDowntime, func() { s.down.Store(false) })
+		panic(http.ErrAbortHandler)
+	}
 	s.calls.Add(s.recordCall(r, body))
 	if _, ok := s.faults.Take(faulter.Lost); ok {
 		panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/emulator/servicer/servicer_test.go
@@ -0,0 +1,39 @@
+package servicer_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/buckthorngap/buckthorngap/internal/emulator/faulter"
+	"github.com/buckthorngap/buckthorngap/internal/emulator/servicer"
+)
+
+// TestDeadlyCallsCrashTheService checks that a service crashes under a call whose body holds the text, and only then.
+func TestDeadlyCallsCrashTheService(t *testing.T) {
+	is := is.New(t)
+	service := servicer.New(servicer.Config{
+		Name: "crates1",
+	})
+	service.Faults().Set(faulter.Fault{
+		Kind:  faulter.Deadly,
+		Count: -1,
+		Text:  "boom",
+	})
+	server := httptest.NewServer(service)
+	defer server.Close()
+	post := func(body string) error {
+		response, err := http.Post(server.URL+"/log", "text/plain", strings.NewReader(body))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err
+	}
+	is.NoErr(post("sound"))
+	is.True(post("boom 1") != nil)
+	is.True(post("sound") != nil) // it is down
+	is.Equal(len(service.Calls()), 1)
+}
