Check engines less often and log less after a crash

Found by reading the diff: an answer without length that had gone on was checked for a crash each time it ended, which opens connections to its engine; each crash logged a line for every request that ran, of up to 64; and suspects were counted with an allocation each in every heartbeat. A crash at the boundary of two events late in an answer without length is not seen, as before.

--- a/internal/forwarder/begun.go
+++ b/internal/forwarder/begun.go
@@ -23,10 +23,13 @@
 	r.routed.ReportBegun(r.firstByteAt)
 }
 
-// reportEnd reports the end of a complete answer. One that ended with its connection may have been cut off by a crash.
+// reportEnd reports the end of a complete answer. One that ended with its connection right after it began may have been cut
+// off by a crash.
 func (r *routing) reportEnd(choice *router.Choice) {
 	if r.undelimited {
-		r.reportBreak(choice)
+		if !r.reportedBegun {
+			r.reportBreak(choice)
+		}
 		return
 	}
 	r.reportBegun()
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -141,10 +141,10 @@
 }
 
 // logSuspected logs what is known of a suspect after a crash, unless it was dropped again for a later part of the same
-// crash. The mutex is held.
+// crash. Of requests as a whole it logs those that come again, since a busy engine runs many. The mutex is held.
 func (q *Quarantiner) logSuspected(part uint64, engine string) {
 	s := q.suspects[part]
-	if s == nil {
+	if s == nil || s.whole && len(s.crashes) < 2 {
 		return
 	}
 	q.config.Log.WithFields(logrus.Fields{
@@ -198,7 +198,7 @@
 	counts := make(map[*suspect]int, len(q.suspects))
 	ranked := make([]*suspect, 0, len(q.suspects))
 	for _, s := range q.suspects {
-		counts[s] = len(s.counted(now))
+		counts[s] = s.count(now)
 		if s.held(now) {
 			counts[s] = math.MaxInt
 		}
--- a/internal/quarantiner/suspect.go
+++ b/internal/quarantiner/suspect.go
@@ -129,6 +129,14 @@
 	return counted
 }
 
+// count returns the number of crashes that count against the part. Most suspects have one crash.
+func (s *suspect) count(now time.Time) int {
+	if len(s.crashes) == 0 || s.sound() {
+		return 0
+	}
+	return len(s.counted(now))
+}
+
 // coincide reports whether two crashes, one after the other, may have a common cause that is not the suspect.
 func (s *suspect) coincide(former, crash crashRecord) bool {
 	resent := s.whole && crash.sent.After(former.at)
@@ -144,6 +152,9 @@
 	if s.term > 0 {
 		needed = 1
 	}
+	if len(s.crashes) < needed {
+		return false
+	}
 	counted := s.counted(now)
 	return len(counted) >= needed && now.Sub(counted[needed-1].at) >= settleTime
 }
