Record a request of the emulated engine before its answer ends

The emulated engine added the entry in a deferred call, after the last bytes of the answer were sent: a test that had read the answer could look before the entry was there.

Change: the entry of a whole answer is added before its last bytes, as the emulated service has always done; those of broken and cancelled ones when the handler ends, as before.

Ruled out: a request that the front lost or sent elsewhere (there is one engine, and both callers read their answers whole).

--- a/internal/emulator/runner/stream.go
+++ b/internal/emulator/runner/stream.go
@@ -140,7 +140,11 @@
 		End:        EndBroken,
 		Metadata:   recorder.ReadMetadata(request),
 	}
-	defer func() { r.journal.Add(entry) }()
+	defer func() {
+		if entry.End != EndDone {
+			r.journal.Add(entry)
+		}
+	}()
 	if !s.cached && sleep(s.ctx, r.config.FirstTokenDelay) != nil {
 		entry.End = EndCancelled
 		return
@@ -163,8 +167,10 @@
 		e.writeToken(n)
 		entry.Tokens++
 	}
-	e.finish()
+	// The entry precedes the last bytes, so that whoever has read the answer finds it in the journal.
 	entry.End = EndDone
+	r.journal.Add(entry)
+	e.finish()
 	s.finished = true
 }
 
