--- a/internal/limiter/protection_test.go
+++ b/internal/limiter/protection_test.go
@@ -113,7 +113,16 @@
 // TestUnreportedLoans lets an instance spend loans of a former epoch that were not reported to the new
 // holder.
 func TestUnreportedLoans(t *testing.T) {
-	script := func(f *fleet) {
+	script := spendUnreportedLoans(func(*fleet) {})
+	is := is.New(t)
+	is.True(scenario(t, nil, 1500, 3000, script) <= tolerance)
+	is.True(scenario(t, func(l *Limiter) { l.ignoreDebts = true }, 1500, 3000, script) > 100)
+}
+
+// spendUnreportedLoans returns a script in which an instance keeps a loan of which the holder that takes over learns nothing,
+// and in which all others then borrow what they can. The function runs between the end of the former holder and the next.
+func spendUnreportedLoans(takeover func(*fleet)) func(*fleet) {
+	return func(f *fleet) {
 		f.elect()
 		go f.keepElecting()
 		time.Sleep(time.Second)
@@ -132,6 +141,7 @@
 		time.Sleep(200 * time.Millisecond)
 		n.keepLoan()
 		old.kill()
+		takeover(f)
 		f.startTerm(next)
 		time.Sleep(2400 * time.Millisecond)
 		for range 20 {
@@ -143,9 +153,6 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
-	is := is.New(t)
-	is.True(scenario(t, nil, 1500, 3000, script) <= tolerance)
-	is.True(scenario(t, func(l *Limiter) { l.ignoreDebts = true }, 1500, 3000, script) > 100)
 }
 
 // TestRepeatedDemand delivers a demand a second time after a demand of a later session. Its returned tokens must be
