Let a stream go on at the service that began it

Cause: a route over several services chose one by the identity of each attempt. A caller that takes a stream up again does so by an attempt of another identity, so that on such a route the stream went on at a service drawn anew: with two services of equal weight at the other one in half of the cases, where its version is not known or another one.

Change: the identity of the stream chooses, that of the attempt that brought its first event (Resumes). The same identity is the one that the stream's version is recorded under.

Ruled out: the list of versions, which is kept for each service.

--- a/internal/server/resuming.go
+++ b/internal/server/resuming.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"errors"
 
@@ -55,16 +56,19 @@
 	return newRefusal(refuser.CodeNoVersion, "no engine of the version that began the stream has the model")
 }
 
-// reportStream records the version that brings the first event of a stream. One that goes on keeps the identity by which its
-// caller names it.
+// stream returns the identity of the stream: that of the attempt that brought its first event, by which its caller names it.
+func (e *exchange) stream() string {
+	if e.facts.LastEventID != "" && e.facts.Resumes != "" {
+		return e.facts.Resumes
+	}
+	return cmp.Or(e.facts.Identity, e.id)
+}
+
+// reportStream records the version that brings the first event of a stream.
 func (e *exchange) reportStream(version string) {
 	report := e.server.config.Streams.ReportBegun
 	if report == nil || !e.route.Resumable {
 		return
 	}
-	if e.facts.LastEventID != "" && e.facts.Resumes != "" {
-		report(e.facts.Resumes, version)
-		return
-	}
-	report(e.facts.Identity, version)
+	report(e.stream(), version)
 }
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -112,7 +112,8 @@
 	return func(ctx context.Context, request any) (any, error) {
 		e := request.(*exchange)
 		snapshot := s.config.Snapshot()
-		e.service, _ = snapshot.Service(e.route.Target(hashText(fnvOffset, e.id)))
+		// A stream that goes on stays at the service that began it.
+		e.service, _ = snapshot.Service(e.route.Target(hashText(fnvOffset, e.stream())))
 		e.need = router.Need{
 			Service: e.service.Name,
 		}
--- a/internal/server/routedconfiguration_test.go
+++ b/internal/server/routedconfiguration_test.go
@@ -34,6 +34,18 @@
 	prompt := route("prompt")
 	prompt.Open = true
 	prompt.Targets[0].Service = "engines"
+	split := route("split")
+	split.Open, split.Stream, split.Resumable = true, true, true
+	split.Targets = []configurator.Target{
+		{
+			Service: "engines",
+			Weight:  1,
+		},
+		{
+			Service: "others",
+			Weight:  1,
+		},
+	}
 	snapshot, err := configurator.Archive{
 		Teams: []configurator.Team{
 			{
@@ -51,6 +63,12 @@
 					Models: []string{"ledger"},
 				},
 			},
+			{
+				Name: "others",
+				Engine: &configurator.Engine{
+					Models: []string{"ledger"},
+				},
+			},
 		},
 		Models: []configurator.Model{
 			{
@@ -65,7 +83,7 @@
 				Checkpoint: "ledger",
 			},
 		},
-		Routes: []configurator.Route{once, open, short, brisk, hasty, prompt},
+		Routes: []configurator.Route{once, open, short, brisk, hasty, prompt, split},
 		Keys: []configurator.Key{
 			{
 				Name: "k",
