Send nothing to upstreams that tell in their answers that they leave

Change: such an answer marks the row of the upstream's listed start as leaving, whatever the store says of it later; router, loads, orders and versions read it there. Another start, or another address, is not marked. The instance passes it on with its heartbeats of the next 2 s, and so does each one that it is new to. A request that was placed before is checked once more before it is sent, and goes elsewhere or is refused as not run. Running answers end.

Ruled out: a mark in the router (lost with the next listing, not seen by loads), a time after which it is tried again (the rule has no end).

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/buckthorngap/buckthorngap/internal/adopter"
 	"github.com/buckthorngap/buckthorngap/internal/certifier"
+	"github.com/buckthorngap/buckthorngap/internal/drainer"
 	"github.com/buckthorngap/buckthorngap/internal/dumper"
 	"github.com/buckthorngap/buckthorngap/internal/enlister"
 	"github.com/buckthorngap/buckthorngap/internal/follower"
@@ -97,7 +98,9 @@
 	follower    *follower.Follower
 	relayer     *relayer.Relayer
 	resumer     *resumer.Resumer
-	probe       *dumper.Probe
+	// drainer spreads which upstreams have told that they leave.
+	drainer *drainer.Drainer
+	probe   *dumper.Probe
 	// wasReady is the last readiness that was computed; a change is logged.
 	wasReady atomic.Bool
 }
@@ -142,6 +145,10 @@
 				Read:   f.resumer.Attachment,
 				Handle: f.resumer.HandleAttachment,
 			},
+			{
+				Read:   f.drainer.Attachment,
+				Handle: f.drainer.HandleAttachment,
+			},
 		},
 	})
 	f.wireQuarantine()
@@ -181,6 +188,7 @@
 		AwaitPermit:      f.pacer.AwaitPermit,
 		LimitState:       f.pacer.State,
 		RetryTime:        f.pacer.RetryTime,
+		ObserveLeaving:   f.drainer.Observe,
 		ObserveLimit:     f.pacer.Observe,
 		CountSent:        f.pacer.CountSent,
 		Changed:          f.dispatchWaiting,
--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/buckthorngap/buckthorngap/internal/adopter"
+	"github.com/buckthorngap/buckthorngap/internal/drainer"
 	"github.com/buckthorngap/buckthorngap/internal/enlister"
 	"github.com/buckthorngap/buckthorngap/internal/follower"
 	"github.com/buckthorngap/buckthorngap/internal/lister"
@@ -68,6 +69,11 @@
 		Now: f.now,
 		Log: f.log,
 	})
+	f.drainer = drainer.New(drainer.Config{
+		Leave: f.leave,
+		Now:   f.now,
+		Log:   f.log,
+	})
 	f.follower = follower.New(follower.Config{
 		Store:          f.store,
 		WatchInterval:  f.relayer.ReadInterval,
@@ -155,6 +161,15 @@
 	}
 }
 
+// leave stops new requests to an upstream that has told that it leaves.
+func (f *Front) leave(departure drainer.Departure) bool {
+	if !f.upstreams.Leave(departure) {
+		return false
+	}
+	f.router.Refresh()
+	return true
+}
+
 // rewrite writes again what a restored store may lack of this instance.
 func (f *Front) rewrite() {
 	f.enlister.Refresh()
--- a/internal/forwarder/answermetadata.go
+++ b/internal/forwarder/answermetadata.go
@@ -15,6 +15,8 @@
 	Busy int
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
+	// Leaving is set if the upstream states that it leaves and wants no more requests.
+	Leaving bool
 	// RateLimited is set if the answer states RateLimit.
 	RateLimited bool
 	// RateLimit is the number of requests per second that the upstream takes from all instances together.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -103,13 +103,16 @@
 	return response, err
 }
 
-// observe records the load and the limit that an answer states. An answer without a limit counts only if it
+// observe records the load and the limit that an answer states, and that its upstream leaves. An answer without a limit counts only if it
 // is a success for this request: others may come from a part of the upstream that knows of no limits.
 func (f *Forwarder) observe(choice *router.Choice, a *attempt, sent time.Time, response *http.Response) {
 	a.answer = f.config.Dialect.ReadAnswer(response.Header)
 	if a.answer.HasLoad {
 		choice.Observe(a.answer.Busy, a.answer.Slots)
 	}
+	if a.answer.Leaving {
+		choice.ObserveLeaving()
+	}
 	succeeded := response.StatusCode < http.StatusMultipleChoices && a.answer.Receipt
 	own := a.answer.RequestID == "" || a.answer.RequestID == a.id
 	if a.answer.RateLimited || succeeded && own {
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -28,6 +28,9 @@
 // from all instances together.
 const headerRateLimit = "X-Rate-Limit"
 
+// headerLeaving is the header field with which an upstream states that it leaves: "true".
+const headerLeaving = "X-Leaving"
+
 // OwnDialect returns the product's own dialect. It has no receipts: every answer counts as one with a
 // receipt.
 func OwnDialect() Dialect {
@@ -59,6 +62,7 @@
 		RequestID: header.Get(headerRequest),
 		NotRun:    header.Get(headerNotRun) == "true",
 		Receipt:   true,
+		Leaving:   header.Get(headerLeaving) == "true",
 	}
 	metadata.RateLimit, metadata.RateLimited = ParseRate(header.Get(headerRateLimit))
 	return metadata
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -97,3 +97,14 @@
 
 // Error implements error.
 func (e *LimitReached) Error() string { return "limit of upstream " + e.Upstream + " is reached" }
+
+// leavingFailure returns the failure of an attempt that was not made because its upstream has turned out to leave.
+func leavingFailure() *failure {
+	return &failure{
+		code:      refuser.CodeNoUpstream,
+		detail:    "the upstream is leaving",
+		unsent:    true,
+		unreached: true,
+		neutral:   true,
+	}
+}
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/drainer"
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/internal/router"
@@ -96,24 +97,34 @@
 
 // harness is a forwarder with a router for instances of one service.
 type harness struct {
-	router    *router.Router
-	forwarder *forwarder.Forwarder
+	// rows are the listed upstreams.
+	rows []storer.Instance
+	// picked is called between the choice of an upstream and the request; may be nil.
+	picked func(choice *router.Choice)
+	// departures are those that answers told.
+	departures []drainer.Departure
+	router     *router.Router
+	forwarder  *forwarder.Forwarder
 }
 
 func newHarness(config forwarder.Config, addresses ...string) *harness {
-	var rows []storer.Instance
+	h := &harness{}
 	for i, address := range addresses {
-		rows = append(rows, storer.Instance{
+		h.rows = append(h.rows, storer.Instance{
 			Name:    string(rune('a' + i)),
 			Role:    storer.RoleService,
 			Service: "depot",
 			Address: netip.MustParseAddrPort(address),
 		})
 	}
-	h := &harness{}
 	h.router = router.New(router.Config{
-		Upstreams:        func() []storer.Instance { return rows },
-		Report:           func(string) (reporter.Report, time.Time, bool) { return reporter.Report{}, time.Time{}, false },
+		Upstreams: func() []storer.Instance { return h.rows },
+		Report: func(string) (reporter.Report, time.Time, bool) {
+			return reporter.Report{
+				Start: "1",
+			}, time.Time{}, true
+		},
+		ObserveLeaving:   func(departure drainer.Departure) { h.departures = append(h.departures, departure) },
 		FailureThreshold: 1000,
 	})
 	h.router.Refresh()
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -189,6 +189,9 @@
 // attempt makes one attempt.
 func (r *routing) attempt(ctx context.Context, choice *router.Choice) *failure {
 	f, c := r.forwarder, r.routed
+	if choice.Leaving() {
+		return leavingFailure()
+	}
 	a := &attempt{
 		id:            c.Identity,
 		repeated:      r.result.Attempts > 1,
--- a/internal/forwarder/routing_test.go
+++ b/internal/forwarder/routing_test.go
@@ -52,6 +52,9 @@
 	if !ok {
 		t.Fatal("no upstream")
 	}
+	if h.picked != nil {
+		h.picked(choice)
+	}
 	c.Choice = choice
 	c.Header.Set("X-Request-Id", c.Identity)
 	c.PickNext = func(tried []string) (*router.Choice, bool) {
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -109,6 +109,8 @@
 		}).Warn("upstream.unreadable")
 		return l.drop(now, name)
 	}
+	row.Instance.Name = name
+	row = l.keepDeparture(name, row)
 	old, known := l.rows[name]
 	if known && old.Report.Sequence >= row.Report.Sequence {
 		return false
@@ -124,7 +126,6 @@
 		}).Info("upstream.outdated")
 		return false
 	}
-	row.Instance.Name = name
 	row.Received = now
 	if old.Instance != row.Instance {
 		l.list = nil
--- a/internal/lister/row.go
+++ b/internal/lister/row.go
@@ -18,6 +18,8 @@
 	Writes uint64
 	// Received is the time at which this instance learned of the report.
 	Received time.Time
+	// Departed is set if the upstream has told in an answer that it leaves.
+	Departed bool
 }
 
 // precedes reports whether a row of a restored store is older than another one of the same upstream: it is of an earlier
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"sync/atomic"
 
+	"github.com/buckthorngap/buckthorngap/internal/drainer"
 	"github.com/buckthorngap/buckthorngap/internal/pacer"
 )
 
@@ -24,6 +25,8 @@
 	// AdapterMissing is set if the upstream has to load the request's adapter first.
 	AdapterMissing bool
 
+	// start identifies the upstream's start when it was chosen.
+	start  string
 	router *Router
 	target *upstream
 	// probe is set if the request probes an open circuit.
@@ -49,6 +52,18 @@
 	c.router.config.ObserveLimit(c.target.paced(), statement)
 }
 
+// ObserveLeaving records that an answer states that the upstream leaves.
+func (c *Choice) ObserveLeaving() {
+	c.router.config.ObserveLeaving(drainer.Departure{
+		Upstream: c.Upstream,
+		Start:    c.start,
+		Address:  c.Address,
+	})
+}
+
+// Leaving reports whether the upstream is leaving or no longer listed, so that it must not get the request.
+func (c *Choice) Leaving() bool { return c.target.leaving() }
+
 // Done releases the slot and records the result of the attempt. Further calls do
 // nothing.
 func (c *Choice) Done(result Result) {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/drainer"
 	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
@@ -25,6 +26,8 @@
 	Upstreams func() []storer.Instance
 	// Report returns the latest load report of an upstream and when it was received.
 	Report func(upstream string) (reporter.Report, time.Time, bool)
+	// ObserveLeaving records that an answer of an upstream states that it leaves; nil means that such answers are ignored.
+	ObserveLeaving func(departure drainer.Departure)
 	// ObserveLimit records what an answer of an upstream states about the rate of requests that it takes;
 	// nil means that limits are ignored.
 	ObserveLimit func(upstream pacer.Upstream, statement pacer.Statement)
@@ -86,6 +89,9 @@
 	if c.Changed == nil {
 		c.Changed = func() {}
 	}
+	if c.ObserveLeaving == nil {
+		c.ObserveLeaving = func(drainer.Departure) {}
+	}
 	if c.ObserveLimit == nil {
 		c.ObserveLimit = func(pacer.Upstream, pacer.Statement) {}
 	}
--- a/internal/router/weightedchoice.go
+++ b/internal/router/weightedchoice.go
@@ -116,6 +116,7 @@
 		need.awaitsPermit = need.Waits && admission == pacer.Pending
 		return nil, false
 	}
+	start := u.snapshot.Load().start
 	address, probe, ok := u.acquire(r.config.Now(), need.Tokens)
 	if !ok {
 		return nil, false
@@ -138,6 +139,7 @@
 		UncachedTokens: uncached,
 		AdapterMissing: need.Adapter != "" && !u.hasAdapter(need),
 		tokens:         need.Tokens,
+		start:          start,
 		router:         r,
 		target:         u,
 		probe:          probe,
