Leave upstreams alone that turn requests away for a time

Change: the router keeps the end of that time for the upstream's start and sends nothing until then; a request that was placed before is checked once more before it is sent. If no upstream of a request wants any, it is refused at once with the first end as Retry-After, as are those that wait. After the end requests double with each tenth of a second.

Ruled out: the circuit of failures (opens late, counts a full upstream as a dead one), a limit of zero (holds for all instances).

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -192,6 +192,7 @@
 		ObserveLimit:     f.pacer.Observe,
 		CountSent:        f.pacer.CountSent,
 		Changed:          f.dispatchWaiting,
+		Paused:           f.refuseCooling,
 		AssumedSlots:     routing.Running,
 		FailureThreshold: routing.Failures,
 		Cooldown:         routing.Cooling.Duration,
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -36,6 +36,7 @@
 		ObserveLimit:     i.pacer.Observe,
 		CountSent:        i.pacer.CountSent,
 		Changed:          i.dispatchWaiting,
+		Paused:           i.refuseCooling,
 		AssumedSlots:     routing.Running,
 		FailureThreshold: routing.Failures,
 		Cooldown:         routing.Cooling.Duration,
@@ -96,5 +97,8 @@
 // refuseLimited refuses the waiting requests for which the limits of all their upstreams leave no room in time.
 func (i *Instance) refuseLimited() { i.queuer.RefuseWaiting(i.server.RefuseLimited) }
 
+// refuseCooling refuses the waiting requests of which no upstream wants any now.
+func (i *Instance) refuseCooling() { i.queuer.RefuseWaiting(i.server.RefuseCooling) }
+
 // dispatchWaiting makes waiting requests of all models try again after an upstream has gained capacity.
 func (i *Instance) dispatchWaiting() { i.queuer.Dispatch("") }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -113,6 +113,9 @@
 	if a.answer.Leaving {
 		choice.ObserveLeaving()
 	}
+	if response.StatusCode == http.StatusServiceUnavailable && (a.answer.RequestID == "" || a.answer.RequestID == a.id) {
+		f.observePause(choice, response.Header.Get("Retry-After"))
+	}
 	succeeded := response.StatusCode < http.StatusMultipleChoices && a.answer.Receipt
 	own := a.answer.RequestID == "" || a.answer.RequestID == a.id
 	if a.answer.RateLimited || succeeded && own {
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -98,11 +98,11 @@
 // Error implements error.
 func (e *LimitReached) Error() string { return "limit of upstream " + e.Upstream + " is reached" }
 
-// leavingFailure returns the failure of an attempt that was not made because its upstream has turned out to leave.
-func leavingFailure() *failure {
+// unwantedFailure returns the failure of an attempt that was not made because its upstream has come to want no requests.
+func unwantedFailure() *failure {
 	return &failure{
 		code:      refuser.CodeNoUpstream,
-		detail:    "the upstream is leaving",
+		detail:    "the upstream wants no requests",
 		unsent:    true,
 		unreached: true,
 		neutral:   true,
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -189,8 +189,8 @@
 // attempt makes one attempt.
 func (r *routing) attempt(ctx context.Context, choice *router.Choice) *failure {
 	f, c := r.forwarder, r.routed
-	if choice.Leaving() {
-		return leavingFailure()
+	if choice.Unwanted() {
+		return unwantedFailure()
 	}
 	a := &attempt{
 		id:            c.Identity,
--- a/internal/router/candidatecounts.go
+++ b/internal/router/candidatecounts.go
@@ -1,6 +1,9 @@
 package router
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // CandidateCounts counts the candidates for a request by what keeps them from serving it, for the request log.
 type CandidateCounts struct {
@@ -14,6 +17,8 @@
 	CircuitOpen int
 	// Limited is how many of them have stated a limit that leaves no room for a request now.
 	Limited int
+	// Paused is how many of them want no requests of this instance now.
+	Paused int
 	// Excluded is how many of them were tried already.
 	Excluded int
 }
@@ -36,14 +41,22 @@
 		if state := r.config.LimitState(u.paced()); state.Limited && state.Next.After(now) {
 			counts.Limited++
 		}
-		u.mu.Lock()
-		if u.load() >= u.capacity {
-			counts.Full++
-		}
-		if !u.openUntil.IsZero() && (u.probing || now.Before(u.openUntil)) {
-			counts.CircuitOpen++
-		}
-		u.mu.Unlock()
+		u.countStates(&counts, now)
 	}
 	return counts
 }
+
+// countStates counts what keeps the upstream from accepting any request now.
+func (u *upstream) countStates(counts *CandidateCounts, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.load() >= u.capacity {
+		counts.Full++
+	}
+	if !u.pause.allows(now) {
+		counts.Paused++
+	}
+	if !u.openUntil.IsZero() && (u.probing || now.Before(u.openUntil)) {
+		counts.CircuitOpen++
+	}
+}
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/buckthorngap/buckthorngap/internal/drainer"
 	"github.com/buckthorngap/buckthorngap/internal/pacer"
@@ -61,8 +62,26 @@
 	})
 }
 
-// Leaving reports whether the upstream is leaving or no longer listed, so that it must not get the request.
-func (c *Choice) Leaving() bool { return c.target.leaving() }
+// ObservePause records that an answer states that the upstream wants no requests of this instance until a time. It returns
+// whether that is new.
+func (c *Choice) ObservePause(until time.Time) bool {
+	if !c.target.pauseUntil(c.start, c.router.config.Now(), until) {
+		return false
+	}
+	c.router.wake(c.target)
+	c.router.config.Paused()
+	return true
+}
+
+// Unwanted reports whether the upstream must not get the request any more: it is leaving or no longer listed, or wants no
+// requests of this instance now.
+func (c *Choice) Unwanted() bool {
+	now := c.router.config.Now()
+	c.target.mu.Lock()
+	paused := now.Before(c.target.pause.until)
+	c.target.mu.Unlock()
+	return paused || c.target.leaving()
+}
 
 // Done releases the slot and records the result of the attempt. Further calls do
 // nothing.
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -47,6 +47,9 @@
 	// Changed is called when waiting requests may find a free slot. It must not
 	// block; may be nil.
 	Changed func()
+	// Paused is called when an upstream begins to want no requests, so that waiting ones may be refused. It must not block;
+	// may be nil.
+	Paused func()
 	// AssumedSlots is the number of slots of an engine whose report does not state it.
 	AssumedSlots int
 	// FailureThreshold is the number of consecutive failures that opens the circuit of an upstream.
@@ -89,9 +92,24 @@
 	if c.Changed == nil {
 		c.Changed = func() {}
 	}
+	c = c.withUpstreamFunctions()
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Random == nil {
+		c.Random = rand.Uint64N
+	}
+	return c
+}
+
+// withUpstreamFunctions replaces the functions that are not set of those that are called about upstreams.
+func (c Config) withUpstreamFunctions() Config {
 	if c.ObserveLeaving == nil {
 		c.ObserveLeaving = func(drainer.Departure) {}
 	}
+	if c.Paused == nil {
+		c.Paused = func() {}
+	}
 	if c.ObserveLimit == nil {
 		c.ObserveLimit = func(pacer.Upstream, pacer.Statement) {}
 	}
@@ -110,11 +128,5 @@
 	if c.CountSent == nil {
 		c.CountSent = func(pacer.Upstream, bool) {}
 	}
-	if c.Now == nil {
-		c.Now = time.Now
-	}
-	if c.Random == nil {
-		c.Random = rand.Uint64N
-	}
 	return c
 }
--- a/internal/router/cooldown.go
+++ b/internal/router/cooldown.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// CooldownEnd reports whether the circuits of all candidates for a request are open, and
-// when the first cooldown ends. It returns false if there are no candidates.
+// CooldownEnd reports whether all candidates for a request have an open circuit or want no requests, and when the first of
+// them may get one. It returns false if there are no candidates.
 func (r *Router) CooldownEnd(need Need) (time.Time, bool) {
 	candidates := r.index.Load().candidates(&need)
 	now := r.config.Now()
@@ -20,9 +20,14 @@
 	return earliest, len(candidates) > 0
 }
 
-// cooldown returns the end of the circuit's cooldown, and whether it is still open.
+// cooldown returns the end of the circuit's cooldown or of the time in which the upstream wants no requests, and whether it is
+// still to come.
 func (u *upstream) cooldown(now time.Time) (time.Time, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.openUntil, now.Before(u.openUntil)
+	until := u.openUntil
+	if u.pause.until.After(until) {
+		until = u.pause.until
+	}
+	return until, now.Before(until)
 }
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -27,6 +27,8 @@
 	Failures int `json:"failures"`
 	// Cooling is the time until which its circuit is open; zero while it is closed.
 	Cooling time.Time `json:"cooling"`
+	// Paused is the time until which it wants no requests of this instance; zero if it has not told so.
+	Paused time.Time `json:"paused"`
 	// Ready lists the checkpoints that it serves.
 	Ready []string `json:"ready,omitempty"`
 }
@@ -57,6 +59,7 @@
 		Slots:    u.capacity,
 		Failures: u.failures,
 		Cooling:  u.openUntil,
+		Paused:   u.pause.until,
 		Ready:    slices.Sorted(maps.Keys(u.snapshot.Load().ready)),
 	}
 }
--- /dev/null
+++ b/internal/router/pause_test.go
@@ -0,0 +1,129 @@
+package router_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/buckthorngap/buckthorngap/internal/reporter"
+	"github.com/buckthorngap/buckthorngap/internal/router"
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
+)
+
+// pausedSite is a router before two upstreams with many slots, of which tests pause some.
+type pausedSite struct {
+	*router.Router
+	start string
+	// paused and changed count the calls of the functions of that name.
+	paused, changed int
+}
+
+var depot = router.Need{
+	Service: "depot",
+}
+
+func newPausedSite() *pausedSite {
+	s := &pausedSite{
+		start: "1",
+	}
+	s.Router = router.New(router.Config{
+		Upstreams: func() []storer.Instance {
+			return []storer.Instance{
+				{
+					Name:    "a",
+					Role:    storer.RoleService,
+					Service: "depot",
+				},
+			}
+		},
+		Report: func(string) (reporter.Report, time.Time, bool) {
+			return reporter.Report{
+				Start: s.start,
+				Slots: 1000,
+			}, time.Time{}, true
+		},
+		Paused:  func() { s.paused++ },
+		Changed: func() { s.changed++ },
+	})
+	s.Refresh()
+	return s
+}
+
+// pick places requests until none can be, and returns how many were.
+func (s *pausedSite) pick(most int) int {
+	for count := range most {
+		if _, ok := s.Pick(depot); !ok {
+			return count
+		}
+	}
+	return most
+}
+
+// TestRequestsGrowSlowlyAfterAPause guards against requests in a pause, and against all of those that waited at its end.
+func TestRequestsGrowSlowlyAfterAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newPausedSite()
+		choice, _ := s.Pick(depot)
+		until := time.Now().Add(2 * time.Second)
+		is.True(choice.ObservePause(until))
+		is.True(choice.Unwanted())
+		is.True(!choice.ObservePause(until.Add(-time.Second))) // an earlier end, of an answer that was overtaken
+		is.Equal(s.paused, 1)
+		end, paused := s.CooldownEnd(depot)
+		is.True(paused)
+		is.Equal(end, until)
+		is.Equal(s.CountCandidates(depot).Paused, 1)
+		time.Sleep(2*time.Second - time.Millisecond)
+		is.Equal(s.pick(100), 0) // BUDGET
+		time.Sleep(time.Millisecond)
+		is.Equal(s.pick(100), 1)
+		is.True(!choice.Unwanted())
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(s.pick(100), 1)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(s.pick(100), 6)
+		before := s.changed
+		time.Sleep(700 * time.Millisecond)
+		is.True(s.changed >= before+6) // those that wait are told
+		is.Equal(s.pick(900), 900)
+		_, paused = s.CooldownEnd(depot)
+		is.True(!paused)
+	})
+}
+
+// TestLaterRefusalsExtendAPause guards against a pause that ends by the first of several answers.
+func TestLaterRefusalsExtendAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newPausedSite()
+		choice, _ := s.Pick(depot)
+		is.True(choice.ObservePause(time.Now().Add(time.Second)))
+		is.True(!choice.ObservePause(time.Now().Add(3 * time.Second)))
+		time.Sleep(2 * time.Second)
+		is.Equal(s.pick(10), 0)
+		time.Sleep(time.Second)
+		is.Equal(s.pick(10), 1)
+		is.True(choice.ObservePause(time.Now().Add(time.Second))) // another one
+		is.Equal(s.pick(10), 0)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestPauseIsOfOneStart guards against a pause of a former start that keeps the next one without requests.
+func TestPauseIsOfOneStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newPausedSite()
+		choice, _ := s.Pick(depot)
+		is.True(choice.ObservePause(time.Now().Add(time.Hour)))
+		s.start = "2"
+		s.Refresh()
+		is.Equal(s.pick(50), 50)
+		is.True(!choice.ObservePause(time.Now().Add(time.Hour))) // a late answer of the former start
+		is.Equal(s.pick(50), 50)
+		time.Sleep(2 * time.Hour)
+	})
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -55,6 +55,8 @@
 	failures int
 	// openUntil is the end of the circuit's cooldown; zero while the circuit is closed.
 	openUntil time.Time
+	// pause is when the upstream wants no requests of this instance.
+	pause pause
 	// probing is set while the one probe of an open circuit runs.
 	probing bool
 	// overrides holds loads and unloads that the upstream's report may not show yet.
@@ -131,6 +133,7 @@
 	u.mu.Lock()
 	if old.start != report.Start {
 		u.overrides = nil
+		u.pause.until = time.Time{}
 	}
 	next = next.withOverrides(u.overrides, now)
 	wasFull := u.load() >= u.capacity
@@ -226,7 +229,7 @@
 
 // availableLocked is available for callers that hold mu.
 func (u *upstream) availableLocked(now time.Time) bool {
-	if u.retired || u.load() >= u.capacity {
+	if u.retired || u.load() >= u.capacity || !u.pause.allows(now) {
 		return false
 	}
 	return u.openUntil.IsZero() || !u.probing && !now.Before(u.openUntil)
@@ -243,6 +246,7 @@
 	probe = !u.openUntil.IsZero()
 	u.probing = probe
 	u.running++
+	u.pause.count(now)
 	u.tokens += tokens
 	u.history.add(now, u.running)
 	return u.address, probe, true
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -100,6 +100,7 @@
 		"lacking":  state.WithoutAdapter,
 		"full":     state.Full,
 		"resting":  state.CircuitOpen,
+		"paused":   state.Paused,
 		"limited":  state.Limited,
 		"excluded": state.Excluded,
 		"waited":   e.elapsedSince(began),
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -14,6 +14,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/quarantiner"
+	"github.com/buckthorngap/buckthorngap/internal/queuer"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
@@ -235,7 +236,7 @@
 	if !e.routed {
 		return nil
 	}
-	if refusal := e.refuseIfCooling(); refusal != nil {
+	if refusal := e.server.refuseCooling(e.need); refusal != nil {
 		return refusal
 	}
 	if refusal := e.refuseIfNotServed(); refusal != nil {
@@ -256,17 +257,26 @@
 	return refusal
 }
 
-// refuseIfCooling refuses a request at once if all upstreams that could run it are cooling down after failures: it
-// would wait only to be refused.
-func (e *exchange) refuseIfCooling() *refuser.Refusal {
-	if e.server.config.CooldownEnd == nil {
+// RefuseCooling returns a refusal for a request in the queue if all upstreams that could run it are cooling down after failures
+// or want no requests, and nil otherwise.
+func (s *Server) RefuseCooling(ticket queuer.Ticket) *refuser.Refusal {
+	need, ok := ticket.Value.(router.Need)
+	if !ok {
 		return nil
 	}
-	until, cooling := e.server.config.CooldownEnd(e.need)
+	return s.refuseCooling(need)
+}
+
+// refuseCooling refuses a request at once that would wait only to be refused.
+func (s *Server) refuseCooling(need router.Need) *refuser.Refusal {
+	if s.config.CooldownEnd == nil {
+		return nil
+	}
+	until, cooling := s.config.CooldownEnd(need)
 	if !cooling {
 		return nil
 	}
-	refusal := newRefusal(refuser.CodeNoUpstream, "no upstream of the request can be reached")
+	refusal := newRefusal(refuser.CodeNoUpstream, "all upstreams of the request rest after failures or want no requests")
 	refusal.RetryAt = until
 	return refusal
 }
