--- a/internal/emulator/faulter/faulter.go
+++ b/internal/emulator/faulter/faulter.go
@@ -56,6 +56,8 @@
 	Delay int `json:"delay,omitempty"`
 	// Rate is the limit that Limit states, in requests per second.
 	Rate float64 `json:"rate,omitempty"`
+	// Pause is the time for which Refuse wants no requests, in seconds; 0 states none.
+	Pause int `json:"pause,omitempty"`
 	// Text is the text of Deadly.
 	Text string `json:"text,omitempty"`
 }
@@ -131,6 +133,13 @@
 	}
 }
 
+// StatePause adds the time of a refusal to the header of its answer, if it has one.
+func (f Fault) StatePause(header http.Header) {
+	if f.Pause > 0 {
+		header.Set("Retry-After", strconv.Itoa(f.Pause))
+	}
+}
+
 // ServeHTTP arms the fault in a request's body.
 func (f *Faulter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var fault Fault
--- a/internal/emulator/runner/order.go
+++ b/internal/emulator/runner/order.go
@@ -36,7 +36,8 @@
 	if fault, ok := r.faults.Take(faulter.Late); ok {
 		time.Sleep(fault.Duration())
 	}
-	if _, ok := r.faults.Take(faulter.Refuse); ok {
+	if fault, ok := r.faults.Take(faulter.Refuse); ok {
+		fault.StatePause(w.Header())
 		refuse(w, request)
 		return o, false
 	}
--- a/internal/emulator/runner/stream.go
+++ b/internal/emulator/runner/stream.go
@@ -39,7 +39,8 @@
 	if _, ok := r.faults.Take(faulter.Cut); ok {
 		panic(http.ErrAbortHandler)
 	}
-	if _, ok := r.faults.Take(faulter.Refuse); ok {
+	if fault, ok := r.faults.Take(faulter.Refuse); ok {
+		fault.StatePause(w.Header())
 		refuse(w, request)
 		return
 	}
--- a/internal/emulator/servicer/servicer.go
+++ b/internal/emulator/servicer/servicer.go
@@ -99,7 +99,8 @@
 	if _, ok := s.faults.Take(faulter.Cut); ok {
 		panic(http.ErrAbortHandler)
 	}
-	if _, ok := s.faults.Take(faulter.Refuse); ok {
+	if fault, ok := s.faults.Take(faulter.Refuse); ok {
+		fault.StatePause(w.Header())
 		refuse(w, r)
 		return
 	}
--- a/internal/emulator/servicer/servicer_test.go
+++ b/internal/emulator/servicer/servicer_test.go
@@ -37,3 +37,23 @@
 	is.True(post("sound") != nil) // it is down
 	is.Equal(len(service.Calls()), 1)
 }
+
+// TestRefusalStatesItsPause checks that an armed refusal states the time for which the service wants no requests, and only then.
+func TestRefusalStatesItsPause(t *testing.T) {
+	is := is.New(t)
+	service := servicer.New(servicer.Config{
+		Name: "crates1",
+	})
+	for pause, want := range map[int]string{0: "", 7: "7"} {
+		service.Faults().Set(faulter.Fault{
+			Kind:  faulter.Refuse,
+			Count: 1,
+			Pause: pause,
+		})
+		answer := httptest.NewRecorder()
+		service.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/log", strings.NewReader("sound")))
+		is.Equal(answer.Code, http.StatusServiceUnavailable)
+		is.Equal(answer.Header().Get("Retry-After"), want)
+	}
+	is.Equal(len(service.Calls()), 0)
+}
