Bound what callers that are not controlled make an instance hold

Cause: net/http bounds a request's head in bytes only. A legal head of 16 KB that consists of lines of three bytes takes 0.3 MB once parsed; with 350 connections an instance on a machine of 96 MB took 148 MB (short lines), 151 MB (odd names), 136 MB (unfinished heads), 105 MB (heads without end), and 329 and 320 MB with heads without end at the readiness probe and the metrics, where not even the bytes were bounded.

Change: internal/acceptor counts lines and bytes of each head while it is received, and charges what is beyond the usual to one account; without room the answer is 503 (not run) and the connection is closed. When all places are taken, the connection that was without a request for the longest time makes room.

Ruled out: a limit of lines, since a single request inside the pages' limits is served in calm (TestLargeHeadIsServedInCalm); trailers, extensions of chunks and empty lines were within the bound before the change.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -242,6 +242,7 @@
 		MaxBodyBytes:       callers.Body,
 		BodyMemoryBytes:    f.config.BodyMemoryBytes,
 		MaxHeaderBytes:     callers.Headers,
+		HeadMemoryBytes:    callers.Heads,
 		ReadTimeout:        callers.Reading.Duration,
 		InteractiveTimeout: callers.Timeout.Duration,
 		MaxConnections:     callers.Connections,
@@ -320,6 +321,7 @@
 	})
 	probe := f.config.Probe
 	probe.Ready = f.ready
+	probe.Log = f.log
 	f.probe = dumper.NewProbe(probe)
 }
 
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -65,6 +65,7 @@
 		Forwarder:          i.forwarder,
 		MaxBodyBytes:       callers.Body,
 		MaxHeaderBytes:     callers.Headers,
+		HeadMemoryBytes:    callers.Heads,
 		ReadTimeout:        callers.Reading.Duration,
 		InteractiveTimeout: callers.Timeout.Duration,
 		OvernightTimeout:   callers.Overnight.Duration,
--- a/internal/dumper/dumper.go
+++ b/internal/dumper/dumper.go
@@ -56,18 +56,22 @@
 	))
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	d.server = &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: readHeaderTimeout,
-		WriteTimeout:      writeTimeout,
-	}
+	d.server = newServer(mux)
 	return d
 }
 
 // Run serves until the context ends. It returns *ListenFailed if it cannot listen on the address, else the listener's
 // error.
 func (d *Dumper) Run(ctx context.Context) error {
-	return serve(ctx, d.server, d.config.Listen)
+	return serve(ctx, d.server, d.config.Listen, d.log())
+}
+
+// log returns where events are logged.
+func (d *Dumper) log() logrus.FieldLogger {
+	if d.config.Log == nil {
+		return logrus.StandardLogger()
+	}
+	return d.config.Log
 }
 
 // Dump returns the state of the process as indented JSON, or only the named part of it if part is not empty. The error is
--- a/internal/parser/check.go
+++ b/internal/parser/check.go
@@ -27,6 +27,9 @@
 	mustBeFraction = "must lie between 0 and 1"
 	// minSizeLimit is the minimum of callers.body and callers.headers, in bytes.
 	minSizeLimit = 1 << 10
+	// minHeads is the minimum of callers.heads, in bytes: the memory of a few headers of the default size that consist of the
+	// shortest lines.
+	minHeads = 8 << 20
 )
 
 // MinSilence is the minimum of limits.silence. An instance must detect within
@@ -120,6 +123,7 @@
 	return []rule{
 		require("callers.body", s.Callers.Body >= minSizeLimit, "must be at least 1024"),
 		require("callers.headers", s.Callers.Headers >= minSizeLimit, "must be at least 1024"),
+		require("callers.heads", s.Callers.Heads >= minHeads, "must be at least 8388608"),
 		require("callers.tokens", s.Callers.Tokens > 0, mustBePositive),
 		require("callers.connections", s.Callers.Connections > 0, mustBePositive),
 		require("platform.reads", s.Platform.Reads > 0, mustBePositive),
--- a/internal/parser/default.go
+++ b/internal/parser/default.go
@@ -16,6 +16,7 @@
 			Listen:      loopback(18080),
 			Body:        4 << 20,
 			Headers:     32 << 10,
+			Heads:       64 << 20,
 			Reading:     duration(10 * time.Second),
 			Timeout:     duration(30 * time.Second),
 			Overnight:   duration(8 * time.Hour),
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -49,6 +49,9 @@
 	Body int64 `json:"body"`
 	// Headers is the maximum size of a request's headers, in bytes.
 	Headers int `json:"headers"`
+	// Heads is the maximum memory of all large request headers together, in bytes; a header that is larger or has more lines than usual
+	// counts.
+	Heads int64 `json:"heads"`
 	// Reading is how long a caller may take to send a request.
 	Reading Duration `json:"reading"`
 	// Timeout is the default time limit of a request.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -13,8 +13,8 @@
 
 	"github.com/go-kit/kit/endpoint"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 
+	"github.com/buckthorngap/buckthorngap/internal/acceptor"
 	"github.com/buckthorngap/buckthorngap/internal/claimer"
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
@@ -93,6 +93,8 @@
 	BodyMemoryBytes int64
 	// MaxHeaderBytes is the size of the largest request header, in bytes.
 	MaxHeaderBytes int
+	// HeadMemoryBytes limits the memory of all large request headers together, in bytes.
+	HeadMemoryBytes int64
 	// ReadTimeout is how long a caller may take to send a request, and to read each part of the response.
 	ReadTimeout time.Duration
 	// InteractiveTimeout is the time until the deadline of an interactive request that gives none.
@@ -187,6 +189,7 @@
 		// Config.MaxHeaderBytes with a typed refusal.
 		MaxHeaderBytes: 2 * s.config.MaxHeaderBytes,
 		IdleTimeout:    idleTimeout,
+		ConnState:      acceptor.ObserveState,
 		ErrorLog:       s.errorLog(),
 	}
 	return s
@@ -212,7 +215,11 @@
 
 // Serve serves a listener until Drain or Close. It returns http.ErrServerClosed after them, else the listener's error.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.http.Serve(netutil.LimitListener(listener, s.config.MaxConnections))
+	return s.http.Serve(acceptor.New(listener, acceptor.Config{
+		MaxConnections: s.config.MaxConnections,
+		HeadMemory:     s.config.HeadMemoryBytes,
+		Log:            s.config.Log,
+	}))
 }
 
 // Ready reports whether the load balancer should send requests.
