Remember upstreams whose entry is removed for a while

Cause: Refresh deleted what the router knew of an upstream that was not listed any more, and made a new one when its entry came back. With the pause went the circuit and its cooldown, the count of this instance's own requests that still ran there, loads and unloads that its report did not show yet, and a pause in an answer to a request that was sent before the removal, which reached only the former object.

Listed again as the same start it goes on as it was; a report of another start begins anew. The dump shows those that are remembered.

Searched, and left: what an upstream has said of leaving is kept by the lister for a minute after the removal; stated limits by the pacer for a minute, and the next answer states them again; failures below the circuit's threshold have no deadline and go with the entry. Ruled out: keeping pauses alone in a list of their own, since the circuit and the running requests have the same fault.

--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -33,13 +33,15 @@
 	Ready []string `json:"ready,omitempty"`
 }
 
-// Dump returns the state of all upstreams, sorted by name, for operators.
+// Dump returns the state of all upstreams, sorted by name, for operators, with those that were removed and are remembered.
 func (r *Router) Dump() any {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rows := make([]Row, 0, len(r.upstreams))
-	for _, name := range slices.Sorted(maps.Keys(r.upstreams)) {
-		rows = append(rows, r.upstreams[name].row())
+	all := maps.Clone(r.upstreams)
+	maps.Copy(all, r.removed)
+	rows := make([]Row, 0, len(all))
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		rows = append(rows, all[name].row())
 	}
 	return rows
 }
--- a/internal/router/pause_test.go
+++ b/internal/router/pause_test.go
@@ -17,6 +17,8 @@
 type pausedSite struct {
 	*router.Router
 	start string
+	// gone is set while the upstream is not listed.
+	gone bool
 	// paused and changed count the calls of the functions of that name.
 	paused, changed atomic.Int64
 }
@@ -31,6 +33,9 @@
 	}
 	s.Router = router.New(router.Config{
 		Upstreams: func() []storer.Instance {
+			if s.gone {
+				return nil
+			}
 			return []storer.Instance{
 				{
 					Name:    "a",
@@ -43,7 +48,7 @@
 			return reporter.Report{
 				Start: s.start,
 				Slots: 1000,
-			}, time.Time{}, true
+			}, time.Time{}, !s.gone
 		},
 		Paused:  func() { s.paused.Add(1) },
 		Changed: func() { s.changed.Add(1) },
@@ -52,6 +57,18 @@
 	return s
 }
 
+// relist removes the upstream and lists it again after a time, as a start of its own.
+func (s *pausedSite) relist(after time.Duration, start string) {
+	s.gone = true
+	s.Refresh()
+	time.Sleep(after)
+	s.gone, s.start = false, start
+	s.Refresh()
+}
+
+// rows returns what is known of upstreams.
+func (s *pausedSite) rows() []router.Row { return s.Dump().([]router.Row) }
+
 // pick places requests until none can be, and returns how many were.
 func (s *pausedSite) pick(most int) int {
 	for count := range most {
@@ -128,3 +145,78 @@
 		time.Sleep(2 * time.Hour)
 	})
 }
+
+// TestRemovedUpstreamIsRemembered guards against an upstream that is cut off from the store and gets, once it is listed again,
+// what it had refused; against one that started again and is taken for its former start; and against memory that stays.
+func TestRemovedUpstreamIsRemembered(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		start string
+		// answer is what the request brings that runs when the upstream is removed, or before.
+		answer func(s *pausedSite, choice *router.Choice)
+		picked int
+	}{
+		{
+			name:  "paused",
+			start: "1",
+			answer: func(_ *pausedSite, choice *router.Choice) {
+				choice.ObservePause(time.Now().Add(15 * time.Second))
+				choice.Done(router.Neutral)
+			},
+		},
+		{
+			name:  "paused by an answer after the removal",
+			start: "1",
+			answer: func(s *pausedSite, choice *router.Choice) {
+				s.relist(0, "1")
+				choice.ObservePause(time.Now().Add(15 * time.Second))
+				choice.Done(router.Neutral)
+			},
+		},
+		{
+			name:   "out of reach",
+			start:  "1",
+			answer: func(_ *pausedSite, choice *router.Choice) { choice.Done(router.Unreachable) },
+		},
+		{
+			name:   "with a request that still runs",
+			start:  "1",
+			answer: func(*pausedSite, *router.Choice) {},
+			picked: 999,
+		},
+		{
+			name:  "started again",
+			start: "2",
+			answer: func(_ *pausedSite, choice *router.Choice) {
+				choice.ObservePause(time.Now().Add(15 * time.Second))
+			},
+			picked: 1000,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newPausedSite()
+				choice, _ := s.Pick(depot)
+				test.answer(s, choice)
+				s.relist(time.Second, test.start)
+				is.Equal(s.pick(2000), test.picked) // BUDGET
+				choice.Done(router.Neutral)
+				time.Sleep(time.Hour)
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newPausedSite()
+		choice, _ := s.Pick(depot)
+		choice.ObservePause(time.Now().Add(2 * time.Second))
+		choice.Done(router.Neutral)
+		s.gone = true
+		s.Refresh()
+		is.Equal(len(s.rows()), 1)
+		time.Sleep(3 * time.Second)
+		s.Refresh()
+		is.Equal(len(s.rows()), 0) // with its last deadline
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,8 +23,9 @@
 	index atomic.Pointer[index]
 
 	mu sync.Mutex
-	// upstreams holds the listed upstreams by name.
-	upstreams map[string]*upstream
+	// upstreams holds the listed upstreams by name, and removed those that were removed while a deadline or a request of
+	// theirs was left.
+	upstreams, removed map[string]*upstream
 }
 
 // New returns a Router without upstreams; Refresh loads them.
@@ -35,6 +36,7 @@
 		budget:    newRetryBudget(config.RetryFraction, config.RetryCapacity),
 		hints:     newPrefixHints(),
 		upstreams: map[string]*upstream{},
+		removed:   map[string]*upstream{},
 	}
 	r.index.Store(&index{})
 	return r
@@ -49,11 +51,7 @@
 			continue
 		}
 		listed[row.Name] = true
-		u := r.upstreams[row.Name]
-		if u == nil {
-			u = newUpstream(row.Name, r.config.AssumedSlots)
-			r.upstreams[row.Name] = u
-		}
+		u := r.list(row.Name)
 		row.Leaving = row.Leaving && !r.config.IgnoreLeaving
 		u.applyListing(row, r.config.Domain)
 		u.expireObservation(r.config.Now())
@@ -61,10 +59,10 @@
 	}
 	for name, u := range r.upstreams {
 		if !listed[name] {
-			u.retire()
-			delete(r.upstreams, name)
+			r.remove(u)
 		}
 	}
+	r.forget()
 	r.rebuildIndex()
 	r.mu.Unlock()
 	r.config.Changed()
