Look versions up when a new stream is placed

Cause: the versions at which a stream that may be resumed can begin were looked up once, when it arrived.

Change: a need that is restricted to versions and names none gets them each time that an upstream is chosen. An update of the lists already makes waiting requests try again (Front.apply: resumer, then router.Refresh), so the stream begins at once. A stream that goes on names its version and is not affected.

Ruled out: waiting before the queue, which would hide the demand from the loading of models and keep requests that should be refused at once.

Test: TestNewStreamLearnsItsVersions; fails without the lookup at the choice. Not played with processes.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -179,6 +179,7 @@
 	routing, callers := f.settings.Routing, f.settings.Callers
 	f.wirePacer()
 	f.router = router.New(router.Config{
+		StreamVersions:   f.resumer.Versions,
 		Domain:           f.settings.Domain,
 		OtherDomains:     true,
 		EngineTokens:     f.engineTokens,
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -44,6 +44,9 @@
 	RetryTime func(upstream pacer.Upstream, earliest time.Time) time.Time
 	// CountSent counts a request that is sent to an upstream; repeated is set for a retry. May be nil.
 	CountSent func(upstream pacer.Upstream, repeated bool)
+	// StreamVersions returns the software versions at which new streams of a service may begin, for needs that are restricted
+	// to versions and name none; nil means none.
+	StreamVersions func(service string) []string
 	// Changed is called when waiting requests may find a free slot. It must not
 	// block; may be nil.
 	Changed func()
@@ -107,6 +110,9 @@
 	if c.ObserveLeaving == nil {
 		c.ObserveLeaving = func(drainer.Departure) {}
 	}
+	if c.StreamVersions == nil {
+		c.StreamVersions = func(string) []string { return nil }
+	}
 	if c.Paused == nil {
 		c.Paused = func() {}
 	}
--- a/internal/router/need.go
+++ b/internal/router/need.go
@@ -22,7 +22,8 @@
 	Tokens int64
 	// Exclude names upstreams that were tried already.
 	Exclude []string
-	// Versions are the software versions of the upstreams that suit the request, if Versioned is set.
+	// Versions are the software versions of the upstreams that suit the request, if Versioned is set. None means those at which
+	// new streams may begin when the upstream is chosen.
 	Versions  []string
 	Versioned bool
 	// Waits is set if the request can wait for the permit of an upstream with a limit, rather than go to an
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -154,6 +154,7 @@
 	r.mu.Unlock()
 	need.Exclude = nil
 	need.AllowMissingAdapter = true
+	r.addVersions(&need)
 	if u == nil || !r.usable(u, &need) {
 		return nil, false
 	}
@@ -174,6 +175,7 @@
 // Pick chooses an upstream and holds a slot on it until Choice.Done. It returns false if no upstream
 // that meets the need accepts a request now.
 func (r *Router) Pick(need Need) (*Choice, bool) {
+	r.addVersions(&need)
 	candidates := r.index.Load().candidates(&need)
 	if need.Checkpoint != "" && len(need.Parts) > 0 {
 		return r.chooseCheapest(candidates, &need)
@@ -181,6 +183,13 @@
 	return r.chooseWeighted(candidates, &need)
 }
 
+// addVersions adds the versions at which a new stream may begin now.
+func (r *Router) addVersions(need *Need) {
+	if need.Versioned && len(need.Versions) == 0 {
+		need.Versions = r.config.StreamVersions(need.Service)
+	}
+}
+
 // PickService chooses an instance of a plain service. Calls with the same pin go
 // to the same instance as long as the list of instances does not change. If that
 // instance accepts no requests, PickService returns false rather than choosing
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -160,3 +160,35 @@
 	_, ok := f.router().Pick(need)
 	is.True(!ok)
 }
+
+// TestNewStreamLearnsItsVersions guards against a stream that arrives before the versions at which it may begin are known, and
+// waits until its time limit although they soon are.
+func TestNewStreamLearnsItsVersions(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	f.rows[0].Version = "v1"
+	var versions []string
+	r := router.New(router.Config{
+		Domain:         "central",
+		Upstreams:      func() []storer.Instance { return f.rows },
+		Report:         func(name string) (reporter.Report, time.Time, bool) { return f.reports[name], f.now, true },
+		StreamVersions: func(string) []string { return versions },
+		Now:            func() time.Time { return f.now },
+	})
+	r.Refresh()
+	stream := need
+	stream.Versioned = true
+	_, ok := r.Pick(stream)
+	is.True(!ok)
+	versions = []string{"v2"}
+	_, ok = r.Pick(stream)
+	is.True(!ok)
+	versions = []string{"v1"}
+	_, ok = r.Pick(stream)
+	is.True(ok)
+	_, ok = r.PickUpstream("engine0", stream)
+	is.True(ok)
+	stream.Versions = []string{"v2"} // a stream that goes on
+	_, ok = r.Pick(stream)
+	is.True(!ok)
+}
