Take no part of an answer for the whole, and no odd status for one

Cause: net/http takes any status of three digits for an answer, 000 and 600 too, and hands over a 101 that nobody asked for. The end of the connection ends an answer without a length for it. If the other side resets the connection while the request is being written, the write takes the error and the read sees a clean end, so the part that was read passed for the whole answer. So did one whose server closed its side before it had read the request.

A final status outside 200 to 599 is a *NoStatus error: it says nothing of load, limits or leaving, and an order stays unknown instead of refused. The body of an answer without a length ends with io.ErrUnexpectedEOF unless the request was written without an error; a write that is still under way is waited for, since it may have taken the error. The connection is closed by then, so this is short.

Searched: messenger and relayer speak QUIC with messages of stated length, no HTTP. The reporter sends no bodies and accepts 200 with a JSON document only; it held before. The tools (load, local, measurements) read for themselves and are left.

--- a/internal/binder/binding_test.go
+++ b/internal/binder/binding_test.go
@@ -1,11 +1,14 @@
 package binder_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -238,3 +241,33 @@
 	_, err := store.List(t.Context(), "")
 	is.NoErr(err)
 }
+
+// TestOddStatusIsNoAnswer guards against an answer of the store that is none, although its body reads like one.
+func TestOddStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600"} {
+		is := is.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				body := `{"code":"` + string(binder.CodeConflict) + `"}`
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+				conn.Close()
+			}
+		}()
+		store := binder.New(binder.Config{
+			URL: "http://" + listener.Addr().String(),
+		})
+		_, err = store.Swap(t.Context(), storer.Swap{
+			Key: "a",
+		})
+		var unavailable *storer.Unavailable
+		is.True(errors.As(err, &unavailable))
+		listener.Close()
+	}
+}
--- a/internal/binder/call.go
+++ b/internal/binder/call.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/time/rate"
 
+	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/internal/waiter"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
@@ -40,11 +41,11 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: verifier.New(&http.Transport{
 			Protocols:           &protocols,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     time.Minute,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/router"
+	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
@@ -140,7 +141,11 @@
 // writes so far.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.reused = info.Reused
-	if c, ok := info.Conn.(*conn); ok {
+	outer, ok := info.Conn.(*verifier.Conn)
+	if !ok {
+		return
+	}
+	if c, ok := outer.Conn.(*conn); ok {
 		a.conn = c
 		a.writesBefore = c.writeCount()
 	}
--- a/internal/forwarder/canceller.go
+++ b/internal/forwarder/canceller.go
@@ -28,7 +28,7 @@
 	queue  chan abandonedRequest
 }
 
-func newCanceller(transport *http.Transport) *canceller {
+func newCanceller(transport http.RoundTripper) *canceller {
 	return &canceller{
 		client: http.Client{
 			Transport: transport,
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,16 +6,17 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
+
+	"github.com/buckthorngap/buckthorngap/internal/verifier"
 )
 
 // Forwarder sends requests to upstreams over one shared HTTP transport.
 type Forwarder struct {
 	config    Config
-	transport *http.Transport
+	transport *verifier.Transport
 	// unkept opens a connection for each request.
-	unkept    *http.Transport
+	unkept    *verifier.Transport
 	canceller *canceller
 	// echoes holds the names of upstreams that have echoed a request identity.
 	echoes sync.Map
--- a/internal/forwarder/transport.go
+++ b/internal/forwarder/transport.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/buckthorngap/buckthorngap/internal/connector"
+	"github.com/buckthorngap/buckthorngap/internal/verifier"
 )
 
 const (
@@ -15,14 +16,14 @@
 )
 
 // newTransport returns an HTTP/1.1 transport without compression, whose connections
-// count their writes.
-func newTransport(config Config) *http.Transport {
+// count their writes and whose answers are whole.
+func newTransport(config Config) *verifier.Transport {
 	d := &dialer{
 		dialer: connector.New(config.DialTimeout),
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return verifier.New(&http.Transport{
 		DialContext:            d.dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
@@ -30,5 +31,5 @@
 		MaxResponseHeaderBytes: maxAnswerHeader,
 		WriteBufferSize:        writeBuffer,
 		ReadBufferSize:         readBuffer,
-	}
+	})
 }
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -55,9 +56,9 @@
 // resend a request if a kept-alive connection breaks. It does not follow redirects.
 func NewClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: verifier.New(&http.Transport{
 			DisableKeepAlives: true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -1,6 +1,7 @@
 package orderer
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -148,3 +149,26 @@
 	err = New(Config{}).Order(context.Background(), engineAt(listener.Addr()), order)
 	is.Equal(errorKind(err), "unreachable")
 }
+
+// TestOddStatusIsNoAnswer guards against an order that counts as refused, or carried out, because of bytes that are no answer.
+func TestOddStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600"} {
+		is := is.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n")
+			conn.Close()
+		}()
+		err = New(Config{
+			Client: NewClient(),
+		}).Order(t.Context(), engineAt(listener.Addr()), loadOrder())
+		is.Equal(errorKind(err), "unreachable") // it may have been carried out
+		listener.Close()
+	}
+}
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/tracker"
+	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -61,9 +62,9 @@
 	c.PushBytesPerSecond = cmp.Or(c.PushBytesPerSecond, DefaultPushBytesPerSecond)
 	if c.Client == nil {
 		c.Client = &http.Client{
-			Transport: &http.Transport{
+			Transport: verifier.New(&http.Transport{
 				MaxIdleConnsPerHost: 2,
-			},
+			}),
 		}
 	}
 	if c.Members == nil {
