Keep in the store which versions began the streams of the last seconds

Cause: which version began a stream was known in the memory of the instances alone.

Change: while a service lists several versions, streams are stored in batches. The first instance by the hash of its name writes those that it began or heard of with heartbeats, at most every 0.7 s; the others write their own that nobody has stored after 2 s, later at large sites, so that all together write at most 100 times a second. Entries are streams/GROUP.N, 32 a group of writers in turn, 1,024 in all, 1,024 streams each; they come with the state of the store that an instance reads anyway, so nothing reads them apart. Only what is known for certain is stored: a lost, late or restored batch leaves a stream unknown and never at another version. What began in the last second or two before the kill is not stored and is refused as before; without the store, what waits is kept for 30 s.

Ruled out: a version computed from the attempt's identity, with records of exceptions (rare models are at one version, so exceptions are the rule, and that a stream is none would have to be known before its first event); the version of each model (popular ones run at both); signs that callers or engines bring back (the attempt's identity is the caller's, the event's number the engine's, and neither tells a version); one entry an instance, rewritten whole (13 KB each time instead of some hundred bytes).

Tests: TestStreamsGoOnAfterAllInstancesWereKilled, three of five cases red without the writes (the other two expect no guess), TestStoredStreamsAreBounded. (With -race its stand-in for calls has a data race, before this change, too.)

--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -59,6 +59,7 @@
 		Log:          f.log,
 	})
 	f.resumer = resumer.New(resumer.Config{
+		Self:      f.self.Name,
 		Store:     f.store,
 		Upstreams: f.upstreams.Upstreams,
 		Confirmed: f.relayer.Confirmed,
@@ -89,9 +90,9 @@
 }
 
 // relevant reports whether the follower tracks an entry of the store: the configuration, upstreams,
-// instances and versions. All other entries are read by the parts that write them.
+// instances, versions and streams. All other entries are read by the parts that write them.
 func (f *Front) relevant(key string) bool {
-	return key == f.config.Configuration.Key || strings.HasPrefix(key, resumer.Prefix) || strings.HasPrefix(key, f.config.Upstreams.Prefix) || strings.HasPrefix(key, enlister.Prefix)
+	return key == f.config.Configuration.Key || strings.HasPrefix(key, resumer.Prefix) || strings.HasPrefix(key, resumer.StreamsPrefix) || strings.HasPrefix(key, f.config.Upstreams.Prefix) || strings.HasPrefix(key, enlister.Prefix)
 }
 
 // compared returns the part of an entry's value whose change counts as an update.
--- a/internal/resumer/config.go
+++ b/internal/resumer/config.go
@@ -12,6 +12,8 @@
 
 // Config configures a Resumer.
 type Config struct {
+	// Self is the name of this instance.
+	Self string
 	// Store is the platform's key-value service.
 	Store *storer.Store
 	// Upstreams returns the listed upstreams.
--- a/internal/resumer/gossip.go
+++ b/internal/resumer/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -21,19 +20,7 @@
 func (r *Resumer) Attachment() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	message := &resumerpb.Streams{}
-	for _, recent := range r.records.takeRecent(r.config.Now()) {
-		index := slices.Index(message.GetVersions(), recent.version)
-		if index < 0 {
-			index = len(message.GetVersions())
-			message.Versions = append(message.Versions, recent.version)
-		}
-		message.Streams = append(message.Streams, &resumerpb.Stream{
-			Stream:  recent.stream,
-			Version: uint32(index),
-		})
-	}
-	encoded, err := proto.Marshal(message)
+	encoded, err := encodeStreams(r.records.takeRecent(r.config.Now()))
 	if err != nil {
 		r.config.Log.WithError(err).Warn("stream.unencoded")
 		return nil
@@ -43,18 +30,19 @@
 
 // HandleAttachment records the streams in a peer's heartbeat.
 func (r *Resumer) HandleAttachment(from messenger.Peer, attachment []byte) {
-	message := &resumerpb.Streams{}
-	if err := proto.Unmarshal(attachment, message); err != nil {
+	streams, err := decodeStreams(attachment, maxRecent)
+	if err != nil {
 		r.config.Log.WithField("peer", from.Name).WithError(err).Warn("stream.malformed")
 		return
 	}
 	now := r.config.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, stream := range message.GetStreams()[:min(len(message.GetStreams()), maxRecent)] {
-		if index := int(stream.GetVersion()); index < len(message.GetVersions()) {
-			r.records.add(stream.GetStream(), message.GetVersions()[index], now)
+	for _, s := range streams {
+		if _, known := r.records.version(s.stream); !known {
+			r.archive.add(s.stream, s.version, false, now)
 		}
+		r.records.add(s.stream, s.version, now)
 	}
 }
 
--- a/internal/resumer/metrics.go
+++ b/internal/resumer/metrics.go
@@ -9,6 +9,8 @@
 	refused *metrics.Counter
 	// unanswered counts the questions that other instances did not answer.
 	unanswered *metrics.Counter
+	// stored counts the streams that this instance stored.
+	stored *metrics.Counter
 }
 
 func newResumerMetrics() resumerMetrics {
@@ -16,5 +18,6 @@
 		resumed:    metrics.GetOrCreateCounter("buckthorngap_streams_resumed_total"),
 		refused:    metrics.GetOrCreateCounter("buckthorngap_streams_unresumed_total"),
 		unanswered: metrics.GetOrCreateCounter("buckthorngap_streams_unanswered_total"),
+		stored:     metrics.GetOrCreateCounter("buckthorngap_streams_stored_total"),
 	}
 }
--- a/internal/resumer/resumer.go
+++ b/internal/resumer/resumer.go
@@ -32,6 +32,7 @@
 	mu       sync.Mutex
 	services map[string]*serviceVersions
 	records  records
+	archive  archive
 	// engineVersions are the versions of the engines by service, as of engineVersionsAt; updated is set if they may have changed
 	// since.
 	engineVersions   map[string][]string
@@ -54,17 +55,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.updated = true
+	stored := r.archive.revisions
 	if update.Complete {
 		for _, s := range r.services {
 			s.stored, s.revision = list{}, 0
 		}
+		r.archive.revisions = nil
 	}
 	for _, key := range update.Deleted {
+		delete(r.archive.revisions, key)
 		if service, ok := strings.CutPrefix(key, Prefix); ok {
 			r.service(service).stored, r.service(service).revision = list{}, 0
 		}
 	}
 	for _, entry := range update.Entries {
+		if strings.HasPrefix(entry.Key, StreamsPrefix) {
+			r.applyStored(entry, stored[entry.Key] == entry.Revision, now)
+			continue
+		}
 		service, ok := strings.CutPrefix(entry.Key, Prefix)
 		if !ok {
 			continue
@@ -99,7 +107,9 @@
 func (r *Resumer) Began(stream, version string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.records.began(hashStream(stream), version, r.config.Now())
+	now := r.config.Now()
+	r.records.began(hashStream(stream), version, now)
+	r.archive.add(hashStream(stream), version, true, now)
 }
 
 // Resume returns the version at which a stream of a service goes on. Stream is the identity of the attempt that brought its
@@ -200,6 +210,7 @@
 			r.write(ctx, service, former, next, revision)
 		}
 	}
+	r.storeStreams(ctx, now)
 }
 
 // knownVersions returns the versions of the engines by service. It reads the list of upstreams again only after an update or
--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
 // TestStreamGoesOnAtTheVersionThatBeganIt guards against a stream that goes on at another version, or does not go on although
@@ -67,6 +70,119 @@
 	is.Equal(version, "v2") // no other version has served for so long
 }
 
+// TestStreamsGoOnAfterAllInstancesWereKilled guards against streams that no instance knows any more while engines of two
+// versions serve, and against guesses about those that the store does not have.
+func TestStreamsGoOnAfterAllInstancesWereKilled(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		instances int
+		// before is called before the streams begin, after once they have run for a while.
+		before, after func(s *testSite)
+		// least and most limit the number of streams that go on, of 24.
+		least, most int
+	}{
+		{
+			name:      "small",
+			instances: 6,
+			least:     24,
+			most:      24,
+		},
+		{
+			name:      "large",
+			instances: 100,
+			least:     24,
+			most:      24,
+		},
+		{
+			name:      "the first instance is cut off",
+			instances: 6,
+			before:    func(s *testSite) { s.cut[s.first()] = true },
+			after:     func(s *testSite) { s.cut[s.first()] = false },
+			least:     18, // its own ones are lost
+			most:      24,
+		},
+		{
+			name:      "without the store",
+			instances: 6,
+			before:    func(s *testSite) { s.cutAll(true) },
+			after:     func(s *testSite) { s.cutAll(false) },
+		},
+		{
+			name:      "restored store",
+			instances: 6,
+			before:    func(s *testSite) { s.saved = s.copy() },
+			after:     func(s *testSite) { s.restore(s.saved) },
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestSite(test.instances, 1)
+			s.engines("v1", "v2")
+			s.settle()
+			if test.before != nil {
+				test.before(s)
+			}
+			for number := range 24 {
+				s.nodes[number%len(s.nodes)].Began(fmt.Sprint("s", number), s.versions[number%2])
+			}
+			s.step(4 * time.Second)
+			s.nodes[0].Began("last", "v2")
+			if test.after != nil {
+				test.after(s)
+			}
+			for number := range s.nodes {
+				s.start(number)
+			}
+			s.step(3 * time.Second)
+			for number := range 24 {
+				s.takeUp(t.Context(), testStream{
+					name:    fmt.Sprint("s", number),
+					version: s.versions[number%2],
+				})
+			}
+			is.Equal(s.joined, 0)               // ORDER
+			is.True(s.resumed >= test.least)    // LOST
+			is.True(s.resumed <= test.most)     // what was not stored can't be known
+			is.True(s.swaps <= 10+4*test.least) // at most a few writes
+			_, err := s.nodes[1].Resume(t.Context(), testService, "last")
+			is.True(err != nil) // it began too late to be stored
+		})
+	}
+}
+
+// TestStoredStreamsAreBounded guards against entries that accumulate, and against writes while one version serves.
+func TestStoredStreamsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(3, 1)
+	s.engines("v1")
+	s.settle()
+	begin := func(rounds int) {
+		for round := range rounds {
+			for number := range 200 {
+				s.nodes[round%3].Began(fmt.Sprint(round, ".", number, ".", s.now), "v1")
+			}
+			s.step(time.Second)
+		}
+	}
+	before := s.swaps
+	begin(20)
+	is.Equal(s.swaps, before)
+	s.engines("v1", "v2")
+	s.settle()
+	before = s.swaps
+	begin(200)
+	is.True(s.swaps-before <= 400) // no write a stream
+	is.True(len(s.entries) <= 1+3*groupEntries)
+	for _, entry := range s.entries {
+		is.True(len(entry.Value) <= 16*maxStored)
+	}
+	is.True(len(s.nodes[0].archive.pending) <= maxPending)
+	s.nodes[0].applyStored(storer.Entry{
+		Key:   StreamsPrefix + "0.0",
+		Value: []byte{0xff},
+	}, false, s.now)
+}
+
 // TestInstanceOutOfStepDoesNotGuess guards against an instance that was cut off or stood still while engines of another
 // version joined, and takes the one that it knows for the only one.
 func TestInstanceOutOfStepDoesNotGuess(t *testing.T) {
--- a/internal/resumer/testsite_test.go
+++ b/internal/resumer/testsite_test.go
@@ -47,6 +47,9 @@
 	entries  map[string]storer.Entry
 	revision uint64
 	era      uint64
+	// swaps counts the writes that were tried, and saved is a copy of the store.
+	swaps int
+	saved map[string]storer.Entry
 
 	// resumed, refused and joined count the streams that were taken up: that went on, that did not at an instance in touch
 	// although their version serves, and that went on at another version.
@@ -77,6 +80,7 @@
 	log.SetOutput(io.Discard)
 	s.confirmed[number], s.known[number], s.disturbed[number] = time.Time{}, nil, s.now
 	s.nodes[number] = New(Config{
+		Self: s.peer(number).Name,
 		Store: &storer.Store{
 			Swap: func(_ context.Context, swap storer.Swap) (storer.Entry, error) { return s.swap(number, swap) },
 		},
@@ -93,6 +97,7 @@
 }
 
 func (s *testSite) swap(number int, swap storer.Swap) (storer.Entry, error) {
+	s.swaps++
 	if s.cut[number] {
 		return storer.Entry{}, &storer.Unavailable{}
 	}
@@ -212,6 +217,24 @@
 // settle lets time pass until every version is in use.
 func (s *testSite) settle() { s.step(3*activationTime + time.Second) }
 
+// first returns the instance that stores the streams of all.
+func (s *testSite) first() int {
+	first := 0
+	for number := range s.nodes {
+		if hashStream(s.peer(number).Name) < hashStream(s.peer(first).Name) {
+			first = number
+		}
+	}
+	return first
+}
+
+// cutAll cuts all instances off, or joins them again.
+func (s *testSite) cutAll(cut bool) {
+	for number := range s.nodes {
+		s.cut[number] = cut
+	}
+}
+
 // copy returns a copy of the store.
 func (s *testSite) copy() map[string]storer.Entry { return maps.Clone(s.entries) }
 
@@ -249,6 +272,10 @@
 					s.start(number)
 				}
 			}
+		case 5:
+			for number := range s.nodes {
+				s.start(number)
+			}
 		}
 		for range 3 {
 			streams = append(streams, s.begin(len(streams))...)
