--- a/internal/resumer/resumer_test.go
+++ b/internal/resumer/resumer_test.go
@@ -73,63 +73,32 @@
 // TestStreamsGoOnAfterAllInstancesWereKilled guards against streams that no instance knows any more while engines of two
 // versions serve, and against guesses about those that the store does not have.
 func TestStreamsGoOnAfterAllInstancesWereKilled(t *testing.T) {
-	for _, test := range []struct {
-		name      string
+	nothing := func(*testSite) {}
+	for name, test := range map[string]struct {
 		instances int
 		// before is called before the streams begin, after once they have run for a while.
 		before, after func(s *testSite)
 		// least and most limit the number of streams that go on, of 24.
 		least, most int
 	}{
-		{
-			name:      "small",
-			instances: 6,
-			least:     24,
-			most:      24,
-		},
-		{
-			name:      "large",
-			instances: 100,
-			least:     24,
-			most:      24,
-		},
-		{
-			name:      "the first instance is cut off",
-			instances: 6,
-			before:    func(s *testSite) { s.cut[s.first()] = true },
-			after:     func(s *testSite) { s.cut[s.first()] = false },
-			least:     18, // its own ones are lost
-			most:      24,
-		},
-		{
-			name:      "without the store",
-			instances: 6,
-			before:    func(s *testSite) { s.cutAll(true) },
-			after:     func(s *testSite) { s.cutAll(false) },
-		},
-		{
-			name:      "restored store",
-			instances: 6,
-			before:    func(s *testSite) { s.saved = s.copy() },
-			after:     func(s *testSite) { s.restore(s.saved) },
-		},
+		"small":                         {6, nothing, nothing, 24, 24},
+		"large":                         {100, nothing, nothing, 24, 24},
+		"the first instance is cut off": {6, func(s *testSite) { s.cut[s.first()] = true }, func(s *testSite) { s.cut[s.first()] = false }, 18, 24},
+		"without the store":             {6, func(s *testSite) { s.cutAll(true) }, func(s *testSite) { s.cutAll(false) }, 0, 0},
+		"restored store":                {6, func(s *testSite) { s.saved = s.copy() }, func(s *testSite) { s.restore(s.saved) }, 0, 0},
 	} {
-		t.Run(test.name, func(t *testing.T) {
+		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newTestSite(test.instances, 1)
 			s.engines("v1", "v2")
 			s.settle()
-			if test.before != nil {
-				test.before(s)
-			}
+			test.before(s)
 			for number := range 24 {
 				s.nodes[number%len(s.nodes)].Began(fmt.Sprint("s", number), s.versions[number%2])
 			}
 			s.step(4 * time.Second)
 			s.nodes[0].Began("last", "v2")
-			if test.after != nil {
-				test.after(s)
-			}
+			test.after(s)
 			for number := range s.nodes {
 				s.start(number)
 			}
--- a/internal/verifier/transport_test.go
+++ b/internal/verifier/transport_test.go
@@ -54,8 +54,8 @@
 	s.end(conn)
 }
 
-// send sends a body and returns the status and body of the answer.
-func (s *server) send(t *testing.T, transport http.RoundTripper, size int) (int, string, error) {
+// send sends a body and returns that of the answer.
+func (s *server) send(t *testing.T, transport http.RoundTripper, size int64) (string, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -70,90 +70,43 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return 0, "", err
+		return "", err
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(content), err
+	return string(content), err
 }
 
 // TestAnswerThatEndsEarlyIsNotWhole guards against a part of an answer that passes for the whole one, because its connection
 // ended while the request was still being written.
 func TestAnswerThatEndsEarlyIsNotWhole(t *testing.T) {
 	const long = 32 << 20
-	for _, test := range []struct {
-		name   string
-		server server
-		size   int
-		whole  bool
+	const endless, stated = "HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart"
+	for name, test := range map[string]struct {
+		answer string
+		// size is that of the request's body, and read how much of it is read.
+		size, read int64
+		end        func(conn *net.TCPConn)
+		whole      bool
 	}{
-		{
-			name: "reset early",
-			server: server{
-				answer: "HTTP/1.1 200 OK\r\n\r\npart",
-				end:    reset,
-			},
-			size: long,
-		},
-		{
-			name: "reset halfway",
-			server: server{
-				answer: "HTTP/1.1 200 OK\r\n\r\npart",
-				read:   long / 2,
-				end:    reset,
-			},
-			size: long,
-		},
-		{
-			name: "closed early",
-			server: server{
-				answer: "HTTP/1.1 200 OK\r\n\r\npart",
-				end:    half,
-			},
-			size: long,
-		},
-		{
-			name: "reset after the request",
-			server: server{
-				answer: "HTTP/1.1 200 OK\r\n\r\npart",
-				read:   10,
-				end:    reset,
-			},
-			size: 10,
-		},
-		{
-			name: "closed after the request",
-			server: server{
-				answer: "HTTP/1.1 200 OK\r\n\r\npart",
-				read:   long,
-				end:    half,
-			},
-			size:  long,
-			whole: true,
-		},
-		{
-			name: "without a body",
-			server: server{
-				answer: "HTTP/1.1 200 OK\r\n\r\npart",
-				end:    half,
-			},
-			whole: true,
-		},
-		{
-			name: "early with a length",
-			server: server{
-				answer: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart",
-				end:    half,
-			},
-			size:  long,
-			whole: true,
-		},
+		"reset early":              {endless, long, 0, reset, false},
+		"reset halfway":            {endless, long, long / 2, reset, false},
+		"closed early":             {endless, long, 0, half, false},
+		"reset after the request":  {endless, 10, 10, reset, false},
+		"closed after the request": {endless, long, long, half, true},
+		"without a body":           {endless, 0, 0, half, true},
+		"early with a length":      {stated, long, 0, half, true},
 	} {
-		t.Run(test.name, func(t *testing.T) {
+		t.Run(name, func(t *testing.T) {
 			for range 20 {
 				is := is.New(t)
 				transport := verifier.New(&http.Transport{})
-				_, content, err := test.server.send(t, transport, test.size)
+				s := server{
+					answer: test.answer,
+					read:   test.read,
+					end:    test.end,
+				}
+				content, err := s.send(t, transport, test.size)
 				transport.CloseIdleConnections()
 				is.Equal(err == nil, test.whole) // MIXED
 				is.True(err != nil || content == "part")
@@ -174,7 +127,7 @@
 				answer: "HTTP/1.1 " + status + " X\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n",
 				end:    half,
 			}
-			_, _, err := s.send(t, verifier.New(&http.Transport{}), 0)
+			_, err := s.send(t, verifier.New(&http.Transport{}), 0)
 			var none *verifier.NoStatus
 			is.Equal(errors.As(err, &none), odd) // MIXED
 			is.True(odd || err == nil)
