Take the sequence of an engine's orders only as far as it is proven

Cause: each unload that was answered without an error raised the sequence that the holder names in its next order. An unload that held already (200) is not counted by the engine.

Change: only an accepted load raises the sequence. After an unload answered with 200 the next order names the same sequence, and after a conflict the next one, if an accepted load of the same term surely brought the adapter and no open order can have come between; once an engine has shown that it counts these, they are counted at once. Else the engine's report is read. The outcome of each order is known as unsent, accepted, held, conflict, refused or unknown (log, metric, dump); an error status of 500 or above is unknown, and an order without a connection is unsent. Open loads that could come true after the next order are charged, with places and memory, also over a restart of an engine that keeps its name. makeRoom evicts until there is room, where it evicted one adapter whatever its size.

Ruled out: reading the report after each unload (reports are some hundred ms old: half a second at each eviction); charging every open order (one with the sequence of the next order excludes it, so it would only block).

TestEvictionCostsNoConflict: one conflict at a holder's first eviction and no report read.

--- a/internal/stager/adapters.go
+++ b/internal/stager/adapters.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -62,7 +60,7 @@
 	if v.busy {
 		return time.Time{}, engineBusy(now.Add(busyRetryDelay))
 	}
-	if err := s.makeRoom(ctx, term, v, instance, adapter, current); err != nil {
+	if err := s.makeRoom(ctx, term, v, instance, adapter); err != nil {
 		return time.Time{}, err
 	}
 	answer, err := s.order(ctx, term, v, instance, Order{
@@ -81,21 +79,30 @@
 	return now.Add(s.config.AdapterLoadTime), nil
 }
 
-// makeRoom evicts the adapter with the least demand if the engine has no slot or no memory for
-// the requested one. While the evicted adapter is still in use, it returns *Unavailable with
-// the time to retry.
-func (s *Stager) makeRoom(ctx context.Context, term Term, v *view, instance storer.Instance, requested string, current map[string]map[string]bool) error {
+// makeRoom evicts the adapters with the least demand until the engine has a slot and memory for the requested one, also if an
+// open order is carried out after it. While an evicted adapter is still in use, it returns *Unavailable with the time to retry.
+func (s *Stager) makeRoom(ctx context.Context, term Term, v *view, instance storer.Instance, requested string) error {
 	snapshot := s.config.Snapshot()
 	service, ok := snapshot.Service(instance.Service)
 	if !ok || service.Engine == nil {
 		return unavailable("the service of the engine is not known")
 	}
 	record, _ := snapshot.Adapter(requested)
-	if countAdapters(current) < service.Engine.Adapters && s.free(current, instance.Service) >= record.Bytes {
-		return nil
+	for {
+		charged := v.charged(s.config.Now())
+		if countAdapters(charged) < service.Engine.Adapters && s.free(charged, instance.Service) >= record.Bytes {
+			return nil
+		}
+		if err := s.evictAdapter(ctx, term, v, instance); err != nil {
+			return err
+		}
 	}
+}
+
+// evictAdapter evicts the adapter with the least demand.
+func (s *Stager) evictAdapter(ctx context.Context, term Term, v *view, instance storer.Instance) error {
 	now := s.config.Now()
-	checkpoint, adapter, ok := v.leastUsed(now, s.demand.rates(), current, minAdapterIdle)
+	checkpoint, adapter, ok := v.leastUsed(now, s.demand.rates(), v.contents(), minAdapterIdle)
 	if !ok {
 		return unavailable("all adapters of the engine are in use")
 	}
@@ -109,10 +116,8 @@
 	}
 	s.config.SetLoaded(instance.Name, checkpoint, adapter, false)
 	if answer == InProgress {
-		// The engine takes no other order until the adapter's requests have ended. It accepts
-		// a repeated order while the first one waits, but does not count it.
+		// The engine takes no other order until the adapter's requests have ended.
 		v.requested[adapter] = now
-		v.sequenceUnknown = true
 		v.busyUntil = now.Add(busyRetryDelay)
 		return unavailableUntil("the adapter to drop is still in use", v.busyUntil)
 	}
@@ -139,43 +144,3 @@
 	v.applyReport(s.config.Now(), report)
 	return nil
 }
-
-// order sends one order, after checking that the term has not ended. After an order that
-// conflicts or gets no answer, the sequence is not known, so that the next refresh reads the
-// engine's own report.
-func (s *Stager) order(ctx context.Context, term Term, v *view, instance storer.Instance, order Order) (OrderResult, error) {
-	order.Sequence = v.sequence
-	order.Epoch = term.Epoch
-	order.Holder = s.config.Self.Name
-	if err := term.Check(); err != nil {
-		return InProgress, err
-	}
-	answer, err := s.config.Order(ctx, instance, order)
-	s.logOrder(instance, order, answer, err)
-	var conflict *Conflict
-	var unanswered *Unanswered
-	switch {
-	case errors.As(err, &conflict), errors.As(err, &unanswered):
-		v.sequenceUnknown = true
-	case err == nil && (answer == InProgress || order.Unload):
-		v.sequence++
-	}
-	return answer, err
-}
-
-// logOrder logs an order with its result.
-func (s *Stager) logOrder(instance storer.Instance, order Order, answer OrderResult, err error) {
-	fields := logrus.Fields{
-		"engine":     instance.Name,
-		"order":      order.kind(),
-		"checkpoint": order.Checkpoint,
-		"adapter":    order.Adapter,
-		"sequence":   order.Sequence,
-		"epoch":      order.Epoch,
-		"done":       answer == Completed,
-	}
-	if err != nil {
-		fields["error"] = err
-	}
-	s.config.Log.WithFields(fields).Info("stage.order")
-}
--- a/internal/stager/config.go
+++ b/internal/stager/config.go
@@ -42,7 +42,7 @@
 	// Row returns the list entry of an engine with its latest report.
 	Row func(engine string) (lister.Row, bool)
 	// Order sends an order to an engine. It returns *Conflict, *Fenced or *Refused if the engine
-	// does not carry it out, and *Unanswered if that is not known.
+	// does not carry it out, *Unsent if it did not reach the engine, and *Unanswered if that is not known.
 	Order func(ctx context.Context, engine storer.Instance, order Order) (OrderResult, error)
 	// Read reads an engine's own report.
 	Read func(ctx context.Context, engine storer.Instance) (reporter.Report, error)
--- a/internal/stager/dump.go
+++ b/internal/stager/dump.go
@@ -32,7 +32,7 @@
 type EngineState struct {
 	// Name is the engine's name.
 	Name string `json:"name"`
-	// Sequence is the number of orders that the engine has accepted.
+	// Sequence is the number of orders that the engine has accepted, as far as that is proven.
 	Sequence uint64 `json:"sequence"`
 	// Doubt is set while that number is not known.
 	Doubt bool `json:"doubt"`
@@ -44,6 +44,8 @@
 	Until time.Time `json:"until"`
 	// Changes is the number of ordered changes that the engine's entry does not show yet.
 	Changes int `json:"changes"`
+	// Open is the number of orders whose outcome is not known and that may still be carried out.
+	Open int `json:"open"`
 	// Held are the adapters by checkpoint, with those changes.
 	Held map[string][]string `json:"held"`
 }
@@ -65,14 +67,14 @@
 		})
 	}
 	for engine, v := range views {
-		state.Engines = append(state.Engines, v.dump(engine))
+		state.Engines = append(state.Engines, v.dump(engine, s.config.Now()))
 	}
 	slices.SortFunc(state.Engines, func(a, b EngineState) int { return cmp.Compare(a.Name, b.Name) })
 	return state
 }
 
 // dump returns the state of the view.
-func (v *view) dump(engine string) EngineState {
+func (v *view) dump(engine string, now time.Time) EngineState {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	state := EngineState{
@@ -83,6 +85,7 @@
 		Target:   v.loadingModel,
 		Until:    v.busyUntil,
 		Changes:  len(v.pending),
+		Open:     v.expire(now),
 		Held:     map[string][]string{},
 	}
 	for checkpoint, adapters := range v.contents() {
--- a/internal/stager/engine_test.go
+++ b/internal/stager/engine_test.go
@@ -47,10 +47,18 @@
 	silent bool
 	// blocksUnloads is set while unloads wait for requests to end.
 	blocksUnloads bool
-	// unloadWaiting is set while an unload waits.
+	// unloadWaiting is set while an unload waits, and leaving is the adapter that it drops.
 	unloadWaiting bool
+	leaving       string
+	// uncounted engines do not count an unload that they do at once.
+	uncounted bool
+	// loses decides which orders are left unanswered; these are kept in late.
+	loses func() bool
+	late  []Order
 	// slow is how much longer than expected a load takes.
 	slow time.Duration
+	// start is the number of restarts.
+	start int
 }
 
 // holds reports whether the engine holds a model.
@@ -79,7 +87,26 @@
 			Cause: errGone,
 		}
 	}
-	if e.loadingModel != "" || order.Sequence != e.sequence {
+	if e.loses != nil && e.loses() {
+		e.late = append(e.late, order)
+		return InProgress, &Unanswered{
+			Cause: errGone,
+		}
+	}
+	return e.accept(order)
+}
+
+// arrive has the engine receive an order that it left unanswered.
+func (e *engine) arrive(order Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+	_, _ = e.accept(order)
+}
+
+func (e *engine) accept(order Order) (OrderResult, error) {
+	repeats := order.Unload && order.Adapter == e.leaving
+	if e.loadingModel != "" || e.unloadWaiting && !repeats || order.Sequence != e.sequence {
 		return InProgress, &Conflict{}
 	}
 	answer := e.carryOut(order)
@@ -87,22 +114,46 @@
 	return answer, nil
 }
 
+// endRuns ends the requests that unloads wait for.
+func (e *engine) endRuns() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.unloadWaiting {
+		delete(e.models["m0"], e.leaving)
+	}
+	e.blocksUnloads, e.unloadWaiting, e.leaving = false, false, ""
+}
+
+// restart has the engine start again under its name, with only m0.
+func (e *engine) restart() {
+	e.endRuns()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.models, e.loadingModel, e.sequence = map[string]map[string]bool{"m0": {}}, "", 0
+	e.start++
+}
+
 func (e *engine) carryOut(order Order) OrderResult {
 	adapters := e.models[order.Checkpoint]
 	switch {
 	case order.Adapter != "" && order.Unload:
+		if !adapters[order.Adapter] {
+			return Completed
+		}
 		if e.blocksUnloads {
 			if !e.unloadWaiting {
 				e.sequence++
 			}
-			e.unloadWaiting = true
+			e.unloadWaiting, e.leaving = true, order.Adapter
 			return InProgress
 		}
-		e.sequence++
+		if !e.uncounted {
+			e.sequence++
+		}
 		delete(adapters, order.Adapter)
 		return Completed
 	case order.Adapter != "":
-		if adapters[order.Adapter] {
+		if adapters == nil || adapters[order.Adapter] {
 			return Completed
 		}
 		e.sequence++
@@ -142,6 +193,7 @@
 	report := reporter.Report{
 		Orders: e.sequence,
 	}
+	report.Busy = e.loadingModel != ""
 	for model, adapters := range e.models {
 		c := reporter.Copy{
 			Checkpoint: model,
@@ -165,6 +217,8 @@
 	revision  uint64
 	// reportReads counts the reads of the engine's own report.
 	reportReads int
+	// reported returns the engine's own report; nil means its present state.
+	reported func() reporter.Report
 	// reportedLoaded holds what the Stager reported through Config.SetLoaded, by checkpoint.
 	reportedLoaded map[string]bool
 }
@@ -208,6 +262,9 @@
 			f.mu.Lock()
 			f.reportReads++
 			f.mu.Unlock()
+			if f.reported != nil {
+				return f.reported(), nil
+			}
 			return f.engine.report(), nil
 		},
 		SetLoaded: func(_, checkpoint, adapter string, held bool) {
@@ -261,7 +318,7 @@
 	f.revision++
 	report.Sequence = f.revision
 	report.Orders = 0 // entries do not contain it
-	report.Start = "1"
+	report.Start = strconv.Itoa(1 + f.engine.start)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.row = lister.Row{
--- a/internal/stager/errors.go
+++ b/internal/stager/errors.go
@@ -38,6 +38,18 @@
 	return "the engine refused the order with status " + strconv.Itoa(e.Status)
 }
 
+// Unsent reports an order that surely did not reach the engine.
+type Unsent struct {
+	// Cause is the transport's error.
+	Cause error
+}
+
+// Error implements error.
+func (e *Unsent) Error() string { return "the order was not sent: " + e.Cause.Error() }
+
+// Unwrap returns the transport's error.
+func (e *Unsent) Unwrap() error { return e.Cause }
+
 // Unanswered reports an order without an answer. The engine may still carry it out later, as long as
 // it has accepted no other order.
 type Unanswered struct {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -12,6 +12,7 @@
 	"context"
 	"hash/fnv"
 	"iter"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -288,17 +289,21 @@
 // runInterval is the time between two rounds of Run.
 const runInterval = 500 * time.Millisecond
 
-// recordTerms records the start of new terms and drops the views of engines that are no longer
-// listed.
+// recordTerms records the start of new terms and drops the views of engines that are no longer listed and have no open order.
 func (s *Stager) recordTerms() {
 	for duty, term := range s.terms() {
 		_ = s.graceRemaining(duty, term)
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for engine := range s.views {
-		if _, ok := s.config.Row(engine); !ok {
-			delete(s.views, engine)
+	views := maps.Clone(s.views)
+	s.mu.Unlock()
+	now := s.config.Now()
+	for engine, v := range views {
+		if _, ok := s.config.Row(engine); ok || v.mayGetLateOrder(now) {
+			continue
 		}
+		s.mu.Lock()
+		delete(s.views, engine)
+		s.mu.Unlock()
 	}
 }
--- a/internal/stager/swap.go
+++ b/internal/stager/swap.go
@@ -132,7 +132,7 @@
 	}
 	done := s.config.Now()
 	if !order.Unload {
-		if free := s.free(w.view.contents(), w.instance.Service); free < w.placement.bytes {
+		if free := s.free(w.view.charged(done), w.instance.Service); free < w.placement.bytes {
 			return unavailable("the engine has no room for the model")
 		}
 		done = done.Add(w.placement.candidate.load)
--- a/internal/stager/view.go
+++ b/internal/stager/view.go
@@ -19,8 +19,20 @@
 	mu sync.Mutex
 	// start identifies the start of the engine; it differs after a restart.
 	start string
-	// sequence is the number of orders that the engine has accepted.
+	// epoch is the epoch of the last order.
+	epoch uint64
+	// sequence is the number of orders that the engine has accepted, as far as that is proven: it may be lower, but never
+	// higher than the engine's.
 	sequence uint64
+	// mayBeNext is set while the engine may have counted the last unload.
+	mayBeNext bool
+	// countsUnloads is set once the engine has shown that it counts unloads that it does at once.
+	countsUnloads bool
+	// brought are the adapters that are surely loaded: accepted orders of this term loaded them, and no order since can have
+	// dropped them.
+	brought map[string]bool
+	// open are the orders whose outcome is not known. They outlive a restart of the engine, since it may keep its name.
+	open []openOrder
 	// entrySequence is the sequence number of the list entry that was applied last.
 	entrySequence uint64
 	// held are the checkpoints that the engine reported last, each with its adapters.
@@ -71,6 +83,8 @@
 		v.requested = map[string]time.Time{}
 		v.loadedAt = map[string]time.Time{}
 		v.busyUntil = time.Time{}
+		v.brought = map[string]bool{}
+		v.mayBeNext, v.countsUnloads = false, false
 		v.sequenceUnknown = true
 	}
 	if row.Report.Sequence <= v.entrySequence {
@@ -83,7 +97,7 @@
 
 // applyReport updates the view from the engine's own report, which contains the sequence.
 func (v *view) applyReport(now time.Time, report reporter.Report) {
-	v.sequence = report.Orders
+	v.sequence, v.mayBeNext = report.Orders, false
 	v.held = contentsOf(report)
 	v.busy = report.Busy
 	v.pending = slices.DeleteFunc(v.pending, func(c pendingChange) bool { return !now.Before(c.shownFrom) })
