Count what a late order brings back, and don't send by reports older than the last order

Cause: the effect of an unload was set against the engine's own reports, too, for four seconds. A load of the same adapter that was left unanswered and carried out in that time did not count, and the next load had one place too few.

Change: a change knows the sequence of its order; a report with a higher one shows its effect, whatever it shows. Only list entries are corrected by it for longer. A report with a sequence below the proven one is not taken for a second, and a sequence that conflicted is not named again for half a second unless a report shows another: with a proven sequence only, the same order was sent again and again until the report came. An unload of an adapter that this term did not load is followed by an order with the same sequence and then the next one, if an accepted load of this term shows that no unload waits.

--- a/internal/stager/adapters.go
+++ b/internal/stager/adapters.go
@@ -16,6 +16,9 @@
 // or that carries out an order that this holder did not send.
 const busyRetryDelay = 500 * time.Millisecond
 
+// reportRetryDelay is the delay before an engine's report is read again that is older than the last order.
+const reportRetryDelay = 100 * time.Millisecond
+
 // orderAttempts bounds the attempts to load an adapter. The second attempt uses the sequence from
 // the engine's own report.
 const orderAttempts = 2
@@ -32,7 +35,11 @@
 	for range orderAttempts {
 		ready, err := s.tryAdapter(ctx, term, v, instance, checkpoint, adapter)
 		var conflict *Conflict
-		if !errors.As(err, &conflict) {
+		var outdated *Outdated
+		switch {
+		case errors.As(err, &outdated):
+			return time.Time{}, engineBusy(s.config.Now().Add(reportRetryDelay))
+		case !errors.As(err, &conflict):
 			return ready, err
 		}
 	}
@@ -60,6 +67,9 @@
 	if v.busy {
 		return time.Time{}, engineBusy(now.Add(busyRetryDelay))
 	}
+	if v.conflicts(now) {
+		return time.Time{}, &Outdated{}
+	}
 	if err := s.makeRoom(ctx, term, v, instance, adapter); err != nil {
 		return time.Time{}, err
 	}
@@ -141,6 +151,10 @@
 	if err != nil {
 		return err
 	}
-	v.applyReport(s.config.Now(), report)
+	now := s.config.Now()
+	if v.outdated(now, report) {
+		return &Outdated{}
+	}
+	v.applyReport(now, report)
 	return nil
 }
--- a/internal/stager/engine_test.go
+++ b/internal/stager/engine_test.go
@@ -192,6 +192,7 @@
 	e.settle()
 	report := reporter.Report{
 		Orders: e.sequence,
+		Start:  strconv.Itoa(1 + e.start),
 	}
 	report.Busy = e.loadingModel != ""
 	for model, adapters := range e.models {
@@ -318,7 +319,6 @@
 	f.revision++
 	report.Sequence = f.revision
 	report.Orders = 0 // entries do not contain it
-	report.Start = strconv.Itoa(1 + f.engine.start)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.row = lister.Row{
--- a/internal/stager/errors.go
+++ b/internal/stager/errors.go
@@ -15,6 +15,12 @@
 // Error implements error.
 func (e *Conflict) Error() string { return "another order is under way, or the sequence differs" }
 
+// Outdated reports that the engine's own report is older than the last order.
+type Outdated struct{}
+
+// Error implements error.
+func (e *Outdated) Error() string { return "the engine's report is older than the last order" }
+
 // Fenced reports that the engine has seen a higher epoch, which is the fencing token of
 // orders.
 type Fenced struct {
--- a/internal/stager/late_order_test.go
+++ b/internal/stager/late_order_test.go
@@ -62,6 +62,13 @@
 			f.lose(is, "a3")
 			is.NoErr(f.adapter("a4"))
 		},
+		"that brings back what was dropped": func(is *is.I, f *fixture) {
+			f.lose(is, "a3")
+			f.lose(is, "a0")
+			f.engine.arrive(f.engine.late[1])
+			time.Sleep(minAdapterIdle)
+			is.NoErr(f.adapter("a4"))
+		},
 		"under the next holder": func(is *is.I, f *fixture) {
 			f.lose(is, "a3")
 			f.succeed()
--- a/internal/stager/openorder.go
+++ b/internal/stager/openorder.go
@@ -23,26 +23,27 @@
 	if known == outcomeUnsent {
 		return
 	}
+	v.ordered = order.Sequence
 	brought := v.brought[order.Adapter]
 	if order.Unload {
 		v.forget(order)
 	}
 	switch known {
 	case outcomeAccepted:
-		v.mayBeNext = false
+		v.settled = !order.Unload
 		if order.Unload {
 			// A repeated unload that still waits is accepted too, but not counted.
-			v.sequenceUnknown = true
+			v.mayBeNext, v.sequenceUnknown = false, true
 			return
 		}
-		v.sequence++
+		v.advance(now)
 		if order.Adapter != "" {
 			v.brought[order.Adapter] = true
 		}
 	case outcomeHeld:
-		v.recordHeld(order, brought)
+		v.recordHeld(now, order, brought)
 	case outcomeConflict:
-		v.recordConflict()
+		v.recordConflict(now)
 	case outcomeUnknown:
 		v.mayBeNext = false
 		v.sequenceUnknown = true
@@ -63,29 +64,35 @@
 	delete(v.brought, order.Adapter)
 }
 
+// advance raises the sequence by one order that the engine has counted.
+func (v *view) advance(now time.Time) {
+	v.sequence++
+	v.mayBeNext = false
+	v.provenUntil = now.Add(maxReportAge)
+}
+
 // recordHeld records an order that is answered as done. An unload that already held is not counted by the engine; one that was
 // done at once is, and it can be told from the other only if the adapter was surely loaded.
-func (v *view) recordHeld(order Order, brought bool) {
+func (v *view) recordHeld(now time.Time, order Order, brought bool) {
 	switch {
-	case !order.Unload, !brought:
-	case v.countsUnloads:
-		v.sequence++
+	case !order.Unload:
+	case brought && v.countsUnloads:
+		v.advance(now)
 	default:
-		v.mayBeNext = true
+		v.mayBeNext = v.settled
 	}
 }
 
 // recordConflict records that the engine's sequence is not that of the view. If only the unload before can have advanced it, the
 // next sequence is known; else the engine's report has to be read.
-func (v *view) recordConflict() {
+func (v *view) recordConflict(now time.Time) {
 	ahead := func(o openOrder) bool { return o.order.Sequence >= v.sequence }
 	if v.mayBeNext && !slices.ContainsFunc(v.open, ahead) {
-		v.mayBeNext = false
-		v.sequence++
+		v.advance(now)
 		return
 	}
-	v.mayBeNext = false
-	v.sequenceUnknown = true
+	v.mayBeNext, v.sequenceUnknown = false, true
+	v.conflictSequence, v.conflictUntil = v.sequence, now.Add(busyRetryDelay)
 	clear(v.brought)
 }
 
--- a/internal/stager/ordering.go
+++ b/internal/stager/ordering.go
@@ -15,7 +15,7 @@
 func (s *Stager) order(ctx context.Context, term Term, v *view, instance storer.Instance, order Order) (OrderResult, error) {
 	if v.epoch != term.Epoch {
 		// Another holder may have ordered in between.
-		v.epoch, v.mayBeNext = term.Epoch, false
+		v.epoch, v.mayBeNext, v.settled = term.Epoch, false, false
 		clear(v.brought)
 	}
 	answer, err := s.send(ctx, term, v, instance, order)
--- a/internal/stager/pendingchange.go
+++ b/internal/stager/pendingchange.go
@@ -6,12 +6,20 @@
 type pendingChange struct {
 	// shownFrom is the time from which list entries show the effect. An entry that was read
 	// earlier need not show it, however long ago that was.
-	shownFrom  time.Time
+	shownFrom time.Time
+	// sequence is the sequence that the order named. The engine's own report shows the effect if its sequence is higher, except
+	// for a model that is being loaded.
+	sequence   uint64
 	checkpoint string
 	adapter    string
 	held       bool
 }
 
+// shownBy reports whether an engine's own report with a sequence shows the effect.
+func (c pendingChange) shownBy(sequence uint64) bool {
+	return sequence > c.sequence && (c.adapter != "" || !c.held)
+}
+
 // apply adds the effect to the contents of an engine.
 func (c pendingChange) apply(current map[string]map[string]bool) {
 	switch {
--- a/internal/stager/swap.go
+++ b/internal/stager/swap.go
@@ -111,7 +111,8 @@
 	for {
 		err := w.sendOrder(ctx, order)
 		var conflict *Conflict
-		if !errors.As(err, &conflict) || !waiter.Pause(ctx, swapRetryInterval) {
+		var outdated *Outdated
+		if retry := errors.As(err, &conflict) || errors.As(err, &outdated); !retry || !waiter.Pause(ctx, swapRetryInterval) {
 			return err
 		}
 	}
--- a/internal/stager/view.go
+++ b/internal/stager/view.go
@@ -13,6 +13,9 @@
 // entries every second or two, and these are read several times a second.
 const reportLag = 4 * time.Second
 
+// maxReportAge bounds the age of the state in an engine's own report, which is some hundred ms.
+const maxReportAge = time.Second
+
 // view is what the holder of a duty knows of one engine. Its lock is held while an order is
 // sent, since the next order carries the number of accepted ones.
 type view struct {
@@ -24,7 +27,16 @@
 	// sequence is the number of orders that the engine has accepted, as far as that is proven: it may be lower, but never
 	// higher than the engine's.
 	sequence uint64
-	// mayBeNext is set while the engine may have counted the last unload.
+	// provenUntil is until when a report with a lower sequence is taken for an older one.
+	provenUntil time.Time
+	// conflictSequence is the sequence of the last order that conflicted. Until conflictUntil no order names it again, since
+	// reports may be older than the conflict.
+	conflictSequence uint64
+	conflictUntil    time.Time
+	// settled is set once the engine accepted a load of this term, until it accepts an unload that waits: it carries out no
+	// other order that a conflict could be due to.
+	settled bool
+	// mayBeNext is set while the engine may have counted the last unload, and nothing else.
 	mayBeNext bool
 	// countsUnloads is set once the engine has shown that it counts unloads that it does at once.
 	countsUnloads bool
@@ -39,8 +51,11 @@
 	held contents
 	// reported are the checkpoints and adapters that the engine's own report showed last, until list entries are newer
 	// than that report.
-	reported      contents
-	reportedUntil time.Time
+	reported         contents
+	reportedUntil    time.Time
+	reportedSequence uint64
+	// ordered is the sequence that the last order named.
+	ordered uint64
 	// pending are the effects of this instance's orders that list entries do not show yet.
 	pending []pendingChange
 	// requested is when the load of each adapter was last requested.
@@ -84,7 +99,8 @@
 		v.loadedAt = map[string]time.Time{}
 		v.busyUntil = time.Time{}
 		v.brought = map[string]bool{}
-		v.mayBeNext, v.countsUnloads = false, false
+		v.settled, v.mayBeNext, v.countsUnloads = false, false, false
+		v.provenUntil, v.conflictUntil = time.Time{}, time.Time{}
 		v.sequenceUnknown = true
 	}
 	if row.Report.Sequence <= v.entrySequence {
@@ -95,6 +111,16 @@
 	v.confirm(row.Received)
 }
 
+// outdated reports whether a report is older than the last order that the engine counted.
+func (v *view) outdated(now time.Time, report reporter.Report) bool {
+	return report.Start == v.start && report.Orders < v.sequence && now.Before(v.provenUntil)
+}
+
+// conflicts reports whether an order would name again the sequence that conflicted just now.
+func (v *view) conflicts(now time.Time) bool {
+	return v.sequence == v.conflictSequence && now.Before(v.conflictUntil)
+}
+
 // applyReport updates the view from the engine's own report, which contains the sequence.
 func (v *view) applyReport(now time.Time, report reporter.Report) {
 	v.sequence, v.mayBeNext = report.Orders, false
@@ -102,7 +128,7 @@
 	v.busy = report.Busy
 	v.pending = slices.DeleteFunc(v.pending, func(c pendingChange) bool { return !now.Before(c.shownFrom) })
 	v.sequenceUnknown = false
-	v.reported, v.reportedUntil = v.held, now.Add(reportLag)
+	v.reported, v.reportedUntil, v.reportedSequence = v.held, now.Add(reportLag), report.Orders
 }
 
 // idle reports whether another swap may begin: none is under way, and the contents and the
@@ -115,14 +141,24 @@
 func (v *view) addPending(done time.Time, checkpoint, adapter string, held bool) {
 	v.pending = append(v.pending, pendingChange{
 		shownFrom:  done.Add(reportLag),
+		sequence:   v.ordered,
 		checkpoint: checkpoint,
 		adapter:    adapter,
 		held:       held,
 	})
 }
 
-// contents returns what the engine holds: what it reported itself or by its entry, with the effects of later orders.
-func (v *view) contents() contents { return union(v.reported, v.held).with(v.pending) }
+// contents returns what the engine holds: what it reported itself or by its entry, with the effects of later orders. A report may
+// show again what an earlier order dropped, as a late order has loaded it.
+func (v *view) contents() contents {
+	var later []pendingChange
+	for _, c := range v.pending {
+		if !c.shownBy(v.reportedSequence) {
+			later = append(later, c)
+		}
+	}
+	return union(union(v.reported).with(later), union(v.held).with(v.pending))
+}
 
 // confirm drops the report and the changes that an entry read at the given time has to show, if it does. An entry that does
 // not was written before them, and the engine's own report has to be read.
