Quarantine: ask other instances at the start, before requests are sent

Cause of late deadly prompts in TestSightingsSurviveKillsAndCuts: all four of a traced run (7 crashes) were sent by an instance that had started in the same moment and knew nothing yet, while all others held the part back.

The test's instances wait as the server does.

Ruled out for this test: crashes that count once because they are close together (the three that counted were 0.3 s and more apart).

--- a/internal/app/quarantine.go
+++ b/internal/app/quarantine.go
@@ -15,6 +15,7 @@
 func (f *Front) wireQuarantine() {
 	f.quarantiner = quarantiner.New(quarantiner.Config{
 		Peers:   f.allPeers,
+		Joined:  f.tracker.Joined,
 		Call:    f.messenger.Call,
 		Down:    refusesConnections,
 		Changed: func() { f.server.RefuseQuarantined() },
@@ -25,6 +26,7 @@
 // quarantineFunctions returns the functions through which the server uses the quarantiner.
 func (f *Front) quarantineFunctions() server.Quarantine {
 	return server.Quarantine{
+		Await:          f.quarantiner.Await,
 		Check:          f.quarantiner.Quarantined,
 		ReportBegun:    f.quarantiner.Survived,
 		ReportComplete: f.quarantiner.Completed,
--- a/internal/quarantiner/broadcast.go
+++ b/internal/quarantiner/broadcast.go
@@ -53,7 +53,11 @@
 	}
 }
 
+// handle applies what another instance knows. An empty message asks what this one knows.
 func (q *Quarantiner) handle(_ context.Context, _ messenger.Sender, payload []byte) ([]byte, error) {
+	if len(payload) == 0 {
+		return q.Attachment(), nil
+	}
 	if err := q.merge(payload); err != nil {
 		return nil, &messenger.Refused{
 			Code:   messenger.CodeMalformed,
--- a/internal/quarantiner/config.go
+++ b/internal/quarantiner/config.go
@@ -14,6 +14,8 @@
 type Config struct {
 	// Peers returns the other live instances.
 	Peers func() []messenger.Peer
+	// Joined reports whether the other live instances are known, or none can be asked; nil means always.
+	Joined func() bool
 	// Call sends a message.
 	Call messenger.Caller
 	// Down reports whether a process refuses connections at an address, as after a crash.
@@ -30,6 +32,9 @@
 	if c.Changed == nil {
 		c.Changed = func() {}
 	}
+	if c.Joined == nil {
+		c.Joined = func() bool { return true }
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -31,6 +31,8 @@
 	// broken and outgoing hold the crashes to be verified and the messages to be sent.
 	broken   chan *crash
 	outgoing chan *broadcast
+	// learned is closed once the other instances were asked what they know.
+	learned chan struct{}
 
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
@@ -47,13 +49,19 @@
 		metrics:  newQuarantineMetrics(),
 		broken:   make(chan *crash, maxPending),
 		outgoing: make(chan *broadcast, maxPending),
+		learned:  make(chan struct{}),
 		suspects: map[uint64]*suspect{},
 		crashes:  map[string]*crash{},
 	}
 }
 
-// Run verifies crashes, passes on what is found and quarantines parts, until the context ends.
+// Run asks the other instances what they know, verifies crashes, passes on what is found and quarantines parts, until the
+// context ends. It must be called once.
 func (q *Quarantiner) Run(ctx context.Context) {
+	first := &learner{
+		quarantiner: q,
+	}
+	go first.run(ctx)
 	ticker := time.NewTicker(evaluationInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -58,6 +58,29 @@
 	}
 }
 
+// TestNewInstancesKnowWhatOthersKnow guards against deadly prompts that reach engines through instances that have just started,
+// while some of the others are cut off.
+func TestNewInstancesKnowWhatOthersKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSite(t.Context(), 7, 12, 1)
+		defer s.end()
+		for round := range minCrashes {
+			crashUnder(s, 2, round, []uint64{deadly})
+		}
+		s.cut["i0"] = true
+		for number := range 5 {
+			s.start(t.Context(), 2+number)
+			s.send(2+number, []uint64{1, deadly})
+		}
+		is.Equal(len(s.deadlyAt), 0)
+		began := time.Now()
+		s.start(t.Context(), 0) // nobody answers
+		s.send(0, []uint64{1, 10})
+		is.True(time.Since(began) < learnTimeout+time.Second)
+	})
+}
+
 // TestCrashesWithoutADeadlyPartQuarantineNothing guards against sound prompts that are refused because engines crash for
 // other reasons, one by one and many at once.
 func TestCrashesWithoutADeadlyPartQuarantineNothing(t *testing.T) {
--- a/internal/quarantiner/testsite_test.go
+++ b/internal/quarantiner/testsite_test.go
@@ -51,6 +51,7 @@
 
 // testSite is a number of instances before engines.
 type testSite struct {
+	ctx     context.Context
 	network *network.Network
 	group   sync.WaitGroup
 
@@ -72,6 +73,7 @@
 
 func newTestSite(ctx context.Context, instances, engines int, seed uint64) *testSite {
 	s := &testSite{
+		ctx:    ctx,
 		random: rand.New(rand.NewPCG(seed, 1)),
 		cut:    map[string]bool{},
 	}
@@ -192,6 +194,7 @@
 	for _, part := range parts {
 		isDeadly = isDeadly || part == deadly
 	}
+	n.Await(s.ctx)
 	if _, held := n.Quarantined(Request{Parts: parts}); held {
 		s.count(isDeadly, true)
 		return
@@ -243,6 +246,7 @@
 	request := Request{
 		Whole: whole,
 	}
+	n.Await(s.ctx)
 	if _, held := n.Quarantined(request); held {
 		return
 	}
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -12,6 +13,8 @@
 // Quarantine has the functions through which the server learns which requests crash upstreams, and tells what it sees. All are
 // set, or none.
 type Quarantine struct {
+	// Await waits until this instance knows what others knew as it started, or the context ends.
+	Await func(ctx context.Context)
 	// Check reports whether a request must not be sent, and until when.
 	Check func(request quarantiner.Request) (until time.Time, held bool)
 	// ReportBegun is called with the shared parts of a prompt that an engine began to answer at a time.
@@ -37,6 +40,13 @@
 	return refusal
 }
 
+// awaitEvidence waits until Check knows what other instances knew as this one started.
+func (e *exchange) awaitEvidence(ctx context.Context) {
+	if await := e.server.config.Quarantine.Await; await != nil {
+		await(ctx)
+	}
+}
+
 func (e *exchange) reportBegun(at time.Time) {
 	if report := e.server.config.Quarantine.ReportBegun; report != nil {
 		report(e.recognized.Parts, at)
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -118,6 +118,7 @@
 		e.need = router.Need{
 			Service: e.service.Name,
 		}
+		e.awaitEvidence(ctx)
 		if refusal := e.refuseIfQuarantined(); refusal != nil {
 			e.logResolved()
 			return nil, refusal
