Send nothing to the upstreams of an evacuated failure domain

Cause: nothing read the operator's requests to evacuate a failure domain, so that its upstreams went on getting requests until their own entries said that they leave, or for ever.

Change: evacuator tracks the operator's entries from the follower's updates, through lost changes and a store that goes back to a copy. The list of upstreams that router and stager read marks the upstreams of evacuated domains and has them leave, so that the one gate for leaving upstreams also stops requests, retries, resumed streams, permits and orders there. Waiting requests are placed again; those that only evacuated upstreams could run are refused at once.

Ruled out: one more watched prefix (the follower reads the whole store already, so this costs no call); a push of its own.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/drainer"
 	"github.com/buckthorngap/buckthorngap/internal/dumper"
 	"github.com/buckthorngap/buckthorngap/internal/enlister"
+	"github.com/buckthorngap/buckthorngap/internal/evacuator"
 	"github.com/buckthorngap/buckthorngap/internal/follower"
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
@@ -51,6 +52,9 @@
 	Configuration Document
 	// Upstreams describes the store entries with which upstreams register themselves.
 	Upstreams Registry
+	// EvacuationPrefix is the prefix of the store keys with which an operator evacuates failure domains; empty means that none
+	// are.
+	EvacuationPrefix string
 	// HeaderFormat is the protocol with callers: header fields and their encodings.
 	HeaderFormat server.HeaderFormat
 	// Dialect is the protocol with upstreams: header fields and their encodings.
@@ -100,7 +104,9 @@
 	resumer     *resumer.Resumer
 	// drainer spreads which upstreams have told that they leave.
 	drainer *drainer.Drainer
-	probe   *dumper.Probe
+	// evacuator knows the evacuated failure domains.
+	evacuator *evacuator.Evacuator
+	probe     *dumper.Probe
 	// wasReady is the last readiness that was computed; a change is logged.
 	wasReady atomic.Bool
 }
@@ -116,6 +122,7 @@
 			Log:      config.Log,
 		}, config.Store, config.Now),
 	}
+	f.wireEvacuation()
 	f.wireStoreSync()
 	f.rewriter = &rewriter{
 		keep: config.KeepAuthority,
@@ -183,7 +190,7 @@
 		Domain:           f.settings.Domain,
 		OtherDomains:     true,
 		EngineTokens:     f.engineTokens,
-		Upstreams:        f.upstreams.Upstreams,
+		Upstreams:        f.listUpstreams,
 		Report:           f.upstreams.Report,
 		Admit:            f.pacer.Admit,
 		AwaitPermit:      f.pacer.AwaitPermit,
@@ -224,6 +231,7 @@
 		Waiting:         f.queuer.Waiting,
 		Reacquire:       f.router.PickUpstream,
 		SetLoaded:       f.router.SetLoaded,
+		Stranded:        f.router.Stranded,
 		CountReady:      f.router.CountReady,
 		StartLoad: func(ctx context.Context, service, checkpoint string) (time.Time, bool) {
 			return f.stager.RequestLoad(ctx, service, checkpoint)
@@ -277,8 +285,8 @@
 		LiveMembers: f.tracker.Alive,
 		Call:        f.messenger.Call,
 		Snapshot:    f.adopter.Current,
-		Upstreams:   f.upstreams.Upstreams,
-		Row:         f.upstreams.Row,
+		Upstreams:   f.listUpstreams,
+		Row:         f.upstreamRow,
 		Order:       f.config.Order,
 		Read:        f.config.Read,
 		SetLoaded:   f.router.SetLoaded,
@@ -308,6 +316,7 @@
 			"configuration": f.adopter.Dump,
 			"store":         f.relayer.Dump,
 			"upstreams":     f.upstreams.Dump,
+			"evacuations":   f.evacuator.Dump,
 			"duties":        f.holder.Dump,
 			"limits":        f.limiter.Dump,
 			"waiting":       f.queuer.Dump,
--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -89,10 +89,13 @@
 	})
 }
 
-// relevant reports whether the follower tracks an entry of the store: the configuration, upstreams,
+// relevant reports whether the follower tracks an entry of the store: the configuration, evacuations, upstreams,
 // instances, versions and streams. All other entries are read by the parts that write them.
 func (f *Front) relevant(key string) bool {
-	return key == f.config.Configuration.Key || strings.HasPrefix(key, resumer.Prefix) || strings.HasPrefix(key, resumer.StreamsPrefix) || strings.HasPrefix(key, f.config.Upstreams.Prefix) || strings.HasPrefix(key, enlister.Prefix)
+	if key == f.config.Configuration.Key || f.evacuator.Tracks(key) {
+		return true
+	}
+	return strings.HasPrefix(key, resumer.Prefix) || strings.HasPrefix(key, resumer.StreamsPrefix) || strings.HasPrefix(key, f.config.Upstreams.Prefix) || strings.HasPrefix(key, enlister.Prefix)
 }
 
 // compared returns the part of an entry's value whose change counts as an update.
@@ -152,6 +155,7 @@
 // configuration, upstreams and instances: upstreams write so often that a watch seldom waits, and
 // each call counts against the budget of store calls.
 func (f *Front) apply(update follower.Update) {
+	f.evacuator.Apply(update) // before the upstreams, which must not be used in between
 	f.adopter.Apply(update)
 	f.instances.Apply(update)
 	f.upstreams.Apply(update)
--- /dev/null
+++ b/internal/evacuator/config.go
@@ -0,0 +1,32 @@
+package evacuator
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Config configures an Evacuator.
+type Config struct {
+	// Prefix is the prefix of the operator's entries; the rest of a key is the failure domain. Empty means that there are none.
+	Prefix string
+	// Changed is called after failure domains were evacuated or taken back; nil means never.
+	Changed func()
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// Log receives one line for each change; nil means the standard logger.
+	Log logrus.FieldLogger
+}
+
+func (c Config) complete() Config {
+	if c.Changed == nil {
+		c.Changed = func() {}
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
+	return c
+}
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -16,6 +16,8 @@
 	Address string `json:"address"`
 	// Leaving is set if it is shutting down or no longer listed, and so gets no new requests.
 	Leaving bool `json:"leaving"`
+	// Evacuated is set while its failure domain is evacuated, so that it gets no new requests either.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// Running is the number of requests that this instance has running there.
 	Running int `json:"running"`
 	// Others is the number of requests that other instances have running or waiting there, by its
@@ -52,16 +54,17 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return Row{
-		Upstream: u.name,
-		Service:  *u.service.Load(),
-		Address:  u.address.String(),
-		Leaving:  leaving,
-		Running:  u.running,
-		Others:   u.otherRequests,
-		Slots:    u.capacity,
-		Failures: u.failures,
-		Cooling:  u.openUntil,
-		Paused:   u.pause.until,
-		Ready:    slices.Sorted(maps.Keys(u.snapshot.Load().ready)),
+		Upstream:  u.name,
+		Service:   *u.service.Load(),
+		Address:   u.address.String(),
+		Leaving:   leaving,
+		Evacuated: u.evacuated.Load(),
+		Running:   u.running,
+		Others:    u.otherRequests,
+		Slots:     u.capacity,
+		Failures:  u.failures,
+		Cooling:   u.openUntil,
+		Paused:    u.pause.until,
+		Ready:     slices.Sorted(maps.Keys(u.snapshot.Load().ready)),
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -38,7 +39,7 @@
 		upstreams: map[string]*upstream{},
 		removed:   map[string]*upstream{},
 	}
-	r.index.Store(&index{})
+	r.index.Store(newIndex())
 	return r
 }
 
@@ -97,32 +98,11 @@
 	return u.applyReport(report, received, r.config.Now(), r.config.AssumedSlots)
 }
 
-// rebuildIndex rebuilds the index from all upstreams that accept new requests.
+// rebuildIndex rebuilds the index from all upstreams.
 func (r *Router) rebuildIndex() {
-	next := &index{
-		engines:  map[string][]*upstream{},
-		services: map[string][]*upstream{},
-	}
-	names := make([]string, 0, len(r.upstreams))
-	for name := range r.upstreams {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		u := r.upstreams[name]
-		current := u.snapshot.Load()
-		if u.leaving() {
-			continue
-		}
-		if service := *u.service.Load(); service != "" {
-			next.services[service] = append(next.services[service], u)
-		}
-		if !u.engine.Load() {
-			continue
-		}
-		for checkpoint := range current.ready {
-			next.engines[checkpoint] = append(next.engines[checkpoint], u)
-		}
+	next := newIndex()
+	for _, name := range slices.Sorted(maps.Keys(r.upstreams)) {
+		next.add(r.upstreams[name])
 	}
 	r.index.Store(next)
 }
@@ -170,7 +150,9 @@
 }
 
 // CountReady returns the number of upstreams with a ready copy of a checkpoint.
-func (r *Router) CountReady(checkpoint string) int { return len(r.index.Load().engines[checkpoint]) }
+func (r *Router) CountReady(checkpoint string) int {
+	return len(r.index.Load().accepting.engines[checkpoint])
+}
 
 // Pick chooses an upstream and holds a slot on it until Choice.Done. It returns false if no upstream
 // that meets the need accepts a request now.
@@ -195,7 +177,7 @@
 // instance accepts no requests, PickService returns false rather than choosing
 // another one. Calls with an empty pin go to any instance.
 func (r *Router) PickService(service, pin string, exclude []string) (*Choice, bool) {
-	candidates := r.index.Load().services[service]
+	candidates := r.index.Load().accepting.services[service]
 	if pin == "" {
 		return r.chooseWeighted(candidates, &Need{
 			Exclude: exclude,
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -28,6 +28,8 @@
 	engine atomic.Bool
 	// domain is the upstream's failure domain.
 	domain atomic.Pointer[string]
+	// evacuated is set while the upstream's failure domain is evacuated.
+	evacuated atomic.Bool
 	// sameDomain is set if the upstream is in this instance's failure domain.
 	sameDomain atomic.Bool
 	// cache models the engine's prompt cache.
@@ -36,7 +38,7 @@
 
 	mu      sync.Mutex
 	address netip.AddrPort
-	// retired is set if the upstream is leaving by the platform's list, or no longer listed.
+	// retired is set if the upstream is leaving by the platform's list, no longer listed, or in an evacuated failure domain.
 	retired bool
 	// capacity is the number of slots.
 	capacity int
@@ -91,11 +93,12 @@
 	u.version.Store(&row.Version)
 	u.engine.Store(row.Role == storer.RoleEngine)
 	u.domain.Store(&row.Domain)
+	u.evacuated.Store(row.Evacuated)
 	u.sameDomain.Store(row.Domain == domain)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.address = row.Address
-	u.retired = row.Leaving
+	u.retired = row.Leaving || row.Evacuated
 }
 
 // retire stops new requests to an upstream that is no longer listed.
@@ -105,8 +108,8 @@
 	u.retired = true
 }
 
-// leaving reports whether the upstream is leaving, by the platform's list or its own report, or no longer
-// listed.
+// leaving reports whether the upstream gets no new requests: it is leaving, by the platform's list or its own report, no
+// longer listed, or in an evacuated failure domain.
 func (u *upstream) leaving() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -243,7 +243,10 @@
 	if refusal := e.refuseIfNotServed(); refusal != nil {
 		return refusal
 	}
-	if e.need.Checkpoint == "" || config.CountReady == nil || config.CountReady(e.need.Checkpoint) > 0 {
+	if e.need.Checkpoint == "" {
+		return e.server.refuseStranded(e.need)
+	}
+	if config.CountReady == nil || config.CountReady(e.need.Checkpoint) > 0 {
 		return nil
 	}
 	refusal := newRefusal(refuser.CodeNoUpstream, "no engine has the model")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -79,6 +79,9 @@
 	// CountCandidates counts the upstreams that a routed request could go to, for the log; nil means that the counts are
 	// not logged.
 	CountCandidates func(need router.Need) router.CandidateCounts
+	// Stranded reports whether all upstreams that a routed request could go to are in evacuated failure domains; nil means
+	// never.
+	Stranded func(need router.Need) bool
 	// CountReady returns the number of engines that hold a checkpoint; nil means not known.
 	CountReady func(checkpoint string) int
 	// Quarantine has the functions for prompts that crash engines.
--- a/pkg/storer/instance.go
+++ b/pkg/storer/instance.go
@@ -34,6 +34,8 @@
 	// Leaving is set once the platform has announced that the instance will be
 	// removed.
 	Leaving bool `json:"leaving"`
+	// Evacuated is set while an operator has evacuated its failure domain. Its entry in the list does not say so.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// Cores is the processor time that the instance may use, in cores; zero if unknown.
 	Cores float64 `json:"share,omitempty"`
 }
