Pass on what instances have seen by one package, first departures and evacuations

Cause: six packages pass on what one instance saw, each with a gossip, a list and an encoding of its own. Evacuations would have been the seventh, or known to an instance only from its readers.

Change: informer carries facts (what, of whom, at which revision of the store, when seen) with the heartbeats, 64 at most, for 2 s after an instance learned them; the part that a fact is for decides whether it is new, and only then it is passed on. Departures move there: drainer keeps its decision, its list, encoding and message go, and the heartbeat's attachment is informer's, in the same place and with the same first four fields, so that departures of the build before are understood and its instances understand ours. Evacuator tells what it has read and learns what others have; the store's revision decides which is later.

Ruled out: facts about cold engines: an engine's entry says so, and the store's entries reach every instance that can know of the engine at all.

Tests: those of drainer run through informer, otherwise as they were.

--- a/internal/app/evacuation.go
+++ b/internal/app/evacuation.go
@@ -11,6 +11,7 @@
 	f.evacuator = evacuator.New(evacuator.Config{
 		Prefix:  f.config.EvacuationPrefix,
 		Changed: f.evacuate,
+		Tell:    f.informer.Tell,
 		Now:     f.now,
 		Log:     f.log,
 	})
--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorngap/buckthorngap/internal/evacuator"
 	"github.com/buckthorngap/buckthorngap/internal/follower"
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
+	"github.com/buckthorngap/buckthorngap/internal/informer"
 	"github.com/buckthorngap/buckthorngap/internal/limiter"
 	"github.com/buckthorngap/buckthorngap/internal/lister"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
@@ -102,8 +103,10 @@
 	follower    *follower.Follower
 	relayer     *relayer.Relayer
 	resumer     *resumer.Resumer
-	// drainer spreads which upstreams have told that they leave.
+	// drainer knows which upstreams have told that they leave.
 	drainer *drainer.Drainer
+	// informer passes on what this instance has seen of upstreams and failure domains.
+	informer *informer.Informer
 	// evacuator knows the evacuated failure domains.
 	evacuator *evacuator.Evacuator
 	probe     *dumper.Probe
@@ -122,6 +125,7 @@
 			Log:      config.Log,
 		}, config.Store, config.Now),
 	}
+	f.wireInformer()
 	f.wireEvacuation()
 	f.wireStoreSync()
 	f.rewriter = &rewriter{
@@ -153,8 +157,8 @@
 				Handle: f.resumer.HandleAttachment,
 			},
 			{
-				Read:   f.drainer.Attachment,
-				Handle: f.drainer.HandleAttachment,
+				Read:   f.informer.Attachment,
+				Handle: f.informer.HandleAttachment,
 			},
 		},
 	})
--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -72,6 +72,7 @@
 	})
 	f.drainer = drainer.New(drainer.Config{
 		Leave: f.leave,
+		Tell:  f.informer.Tell,
 		Now:   f.now,
 		Log:   f.log,
 	})
--- a/internal/drainer/doc.go
+++ b/internal/drainer/doc.go
@@ -1,4 +1,4 @@
-// Package drainer spreads among the instances which upstreams have told in an answer that they leave. An upstream tells so
+// Package drainer tracks which upstreams have told in an answer, to this instance or to another one, that they leave. An upstream tells so
 // before the store lists it as leaving, or while an instance does not reach the store.
 //
 // A departure names one start of an upstream, at its address: another start under the same name, or another upstream at the
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorngap/buckthorngap/internal/drainer"
+	"github.com/buckthorngap/buckthorngap/internal/informer"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 )
 
@@ -21,6 +22,7 @@
 // node is an instance with its own list of upstreams.
 type node struct {
 	*drainer.Drainer
+	informer *informer.Informer
 	// starts holds the listed start of each upstream, and left those that the instance knows to leave.
 	starts map[string]string
 	left   map[drainer.Departure]bool
@@ -56,7 +58,15 @@
 		},
 		left: map[drainer.Departure]bool{},
 	}
+	n.informer = informer.New(informer.Config{
+		Learn: map[informer.Kind]func(informer.Fact, string) bool{
+			informer.Leaves: func(fact informer.Fact, peer string) bool { return n.Learn(fact, peer) },
+		},
+		Now: func() time.Time { return s.now },
+		Log: log,
+	})
 	n.Drainer = drainer.New(drainer.Config{
+		Tell: n.informer.Tell,
 		Leave: func(departure drainer.Departure) bool {
 			if n.starts[departure.Upstream] != departure.Start || n.left[departure] {
 				return false
@@ -79,8 +89,8 @@
 			if from.frozen || to.frozen || s.random.Float64() < lost {
 				continue
 			}
-			to.HandleAttachment(messenger.Peer{}, from.Attachment())
-			from.HandleAttachment(messenger.Peer{}, to.Attachment())
+			to.informer.HandleAttachment(messenger.Peer{}, from.informer.Attachment())
+			from.informer.HandleAttachment(messenger.Peer{}, to.informer.Attachment())
 		}
 	}
 }
@@ -123,7 +133,7 @@
 			for range 6 {
 				s.beat(0)
 			}
-			is.Equal(len(s.nodes[0].Attachment()), 0) // it is not passed on for ever
+			is.Equal(len(s.nodes[0].informer.Attachment()), 0) // it is not passed on for ever
 		})
 	}
 }
@@ -135,11 +145,11 @@
 	s := newSite(20, 1)
 	old := s.nodes[3]
 	old.Observe(departureOf("a", "1"))
-	stale := old.Attachment()
+	stale := old.informer.Attachment()
 	for _, n := range s.nodes {
 		n.starts["a"] = "2"
 	}
-	s.nodes[4].HandleAttachment(messenger.Peer{}, stale)
+	s.nodes[4].informer.HandleAttachment(messenger.Peer{}, stale)
 	for range 10 {
 		s.beat(0)
 	}
@@ -151,7 +161,7 @@
 func TestMalformedDeparturesAreIgnored(t *testing.T) {
 	is := is.New(t)
 	s := newSite(1, 1)
-	s.nodes[0].HandleAttachment(messenger.Peer{}, []byte("garbage"))
-	s.nodes[0].HandleAttachment(messenger.Peer{}, nil)
+	s.nodes[0].informer.HandleAttachment(messenger.Peer{}, []byte("garbage"))
+	s.nodes[0].informer.HandleAttachment(messenger.Peer{}, nil)
 	is.Equal(len(s.nodes[0].left), 0)
 }
--- a/internal/evacuator/config.go
+++ b/internal/evacuator/config.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/buckthorngap/buckthorngap/internal/informer"
 )
 
 // Config configures an Evacuator.
@@ -12,6 +14,8 @@
 	Prefix string
 	// Changed is called after failure domains were evacuated or taken back; nil means never.
 	Changed func()
+	// Tell passes a change that this instance has read on to the others; nil means that none are passed on.
+	Tell func(fact informer.Fact)
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Log receives one line for each change; nil means the standard logger.
@@ -22,6 +26,9 @@
 	if c.Changed == nil {
 		c.Changed = func() {}
 	}
+	if c.Tell == nil {
+		c.Tell = func(informer.Fact) {}
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorngap/buckthorngap/internal/follower"
-	"github.com/buckthorngap/buckthorngap/pkg/storer"
+	"github.com/buckthorngap/buckthorngap/internal/informer"
 )
 
 const (
@@ -75,73 +75,103 @@
 	if e.config.Prefix == "" {
 		return
 	}
-	if e.apply(update) {
+	changes := e.apply(update)
+	if len(changes) == 0 {
+		return
+	}
+	for _, change := range changes {
+		e.config.Tell(change.fact())
+	}
+	e.config.Changed()
+}
+
+// Learn applies what another instance has read, and reports whether it is new.
+func (e *Evacuator) Learn(fact informer.Fact, peer string) bool {
+	if e.config.Prefix == "" {
+		return false
+	}
+	e.mu.Lock()
+	changed := e.put(State{
+		Domain:    fact.Subject,
+		Evacuated: fact.Kind == informer.Evacuated,
+		Revision:  fact.Revision,
+		Since:     fact.Seen,
+	}, false, peer)
+	e.mu.Unlock()
+	if changed {
 		e.config.Changed()
 	}
+	return changed
 }
 
-// apply applies an update and reports whether it changed a failure domain.
-func (e *Evacuator) apply(update follower.Update) bool {
+// apply applies an update and returns the states that it changed.
+func (e *Evacuator) apply(update follower.Update) []State {
+	now := e.config.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	changed := false
-	present := map[string]bool{}
-	for _, entry := range update.Entries {
-		if domain, ok := strings.CutPrefix(entry.Key, e.config.Prefix); ok {
-			present[domain] = true
-			changed = e.put(domain, true, entry.Revision, update.Restored) || changed
-		}
-	}
+	next := map[string]State{}
 	for _, key := range update.Deleted {
-		if domain, ok := strings.CutPrefix(key, e.config.Prefix); ok && !present[domain] {
-			changed = e.put(domain, false, update.Revision, false) || changed
-		}
+		e.add(next, key, State{
+			Revision: update.Revision,
+			Since:    now,
+		})
+	}
+	for _, entry := range update.Entries {
+		e.add(next, entry.Key, State{
+			Evacuated: true,
+			Revision:  entry.Revision,
+			Since:     now,
+		})
 	}
-	if !update.Complete {
-		return changed
+	if update.Complete {
+		e.addMissing(next, now, update)
 	}
-	for domain := range e.states {
-		if !present[domain] {
-			changed = e.miss(domain, update) || changed
+	var changes []State
+	for _, state := range next {
+		if e.put(state, update.Restored && state.Evacuated, "") {
+			changes = append(changes, state)
 		}
 	}
-	return changed
+	return changes
 }
 
-// miss handles a failure domain without an entry in the complete state of the store. A store that was restored from a copy
-// may lack the entry of a domain that is evacuated, until the operator has written it again.
-func (e *Evacuator) miss(domain string, update follower.Update) bool {
-	state := e.states[domain]
-	now := e.config.Now()
-	switch {
-	case !state.Evacuated:
-		return false
-	case update.Restored:
-		state.HeldUntil, state.Revision = now.Add(maxCopyAge), update.Revision
-		e.states[domain] = state
-		e.log(state).WithField("until", state.HeldUntil).Warn("evacuation.held")
-		return false
-	case now.Before(state.HeldUntil):
-		return false
-	default:
-		return e.put(domain, false, update.Revision, false)
+// add adds the state of the failure domain that a key of the store names, if it names one.
+func (e *Evacuator) add(next map[string]State, key string, state State) {
+	if domain, ok := strings.CutPrefix(key, e.config.Prefix); ok && domain != "" {
+		state.Domain = domain
+		next[domain] = state
 	}
 }
 
-// put records the state of a failure domain at a revision, unless a later one is known, and reports whether it changed.
-// Restored is set for an entry of a restored store.
-func (e *Evacuator) put(domain string, evacuated bool, revision storer.Revision, restored bool) bool {
-	former, known := e.states[domain]
-	state := State{
-		Domain:    domain,
-		Evacuated: evacuated,
-		Revision:  revision,
-		Since:     e.config.Now(),
+// addMissing adds the states of evacuated failure domains that have no entry in the complete state of the store. A store that
+// was restored from a copy may lack the entry of a domain that is evacuated, until the operator has written it again.
+func (e *Evacuator) addMissing(next map[string]State, now time.Time, update follower.Update) {
+	for domain, state := range e.states {
+		if _, present := next[domain]; present || !state.Evacuated || now.Before(state.HeldUntil) {
+			continue
+		}
+		if update.Restored {
+			state.HeldUntil, state.Revision = now.Add(maxCopyAge), update.Revision
+			e.states[domain] = state
+			e.log(state).WithField("until", state.HeldUntil).Warn("evacuation.held")
+			continue
+		}
+		next[domain] = State{
+			Domain:   domain,
+			Revision: update.Revision,
+			Since:    now,
+		}
 	}
+}
+
+// put records a state unless a later one is known, and reports whether the failure domain was evacuated or taken back by it.
+// Restored is set for an entry of a restored store. The peer is the instance that told it; empty if it was read.
+func (e *Evacuator) put(state State, restored bool, peer string) bool {
+	former, known := e.states[state.Domain]
 	if known && state.precedes(former, restored) {
 		if restored {
-			former.Revision = revision // what the copy holds stays outdated
-			e.states[domain] = former
+			former.Revision, former.HeldUntil = state.Revision, time.Time{} // what the copy holds stays outdated
+			e.states[state.Domain] = former
 		}
 		return false
 	}
@@ -149,14 +179,14 @@
 		e.log(state).Warn("evacuation.excess")
 		return false
 	}
-	changed := former.Evacuated != evacuated
+	changed := former.Evacuated != state.Evacuated
 	if !changed {
 		state.Since = former.Since
 	}
-	e.states[domain] = state
+	e.states[state.Domain] = state
 	if changed {
 		e.changes.Inc()
-		e.log(state).Info("evacuation")
+		e.log(state).WithField("peer", peer).Info("evacuation")
 	}
 	return changed
 }
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/buckthorngap/buckthorngap/internal/evacuator"
 	"github.com/buckthorngap/buckthorngap/internal/follower"
+	"github.com/buckthorngap/buckthorngap/internal/informer"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -18,6 +19,7 @@
 	*evacuator.Evacuator
 	now     time.Time
 	changes int
+	told    []informer.Fact
 }
 
 func newFixture() *fixture {
@@ -29,6 +31,7 @@
 	f.Evacuator = evacuator.New(evacuator.Config{
 		Prefix:  "evacuate/",
 		Changed: func() { f.changes++ },
+		Tell:    func(fact informer.Fact) { f.told = append(f.told, fact) },
 		Now:     func() time.Time { return f.now },
 		Log:     log,
 	})
@@ -157,3 +160,40 @@
 	is.Equal(f.changes, 2)
 	is.True(!f.Evacuated("a"))
 }
+
+// TestWhatOthersHaveReadCounts guards against an instance that the store does not answer and that goes on using a domain, and
+// against a late message that evacuates one again or takes it back.
+func TestWhatOthersHaveReadCounts(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	for _, step := range []struct {
+		kind  informer.Kind
+		era   uint64
+		at    uint64
+		isNew bool
+		want  []string
+	}{
+		{informer.Evacuated, 0, 5, true, []string{"a"}},
+		{informer.Evacuated, 0, 5, false, []string{"a"}},
+		{informer.Returned, 0, 7, true, nil},
+		{informer.Evacuated, 0, 5, false, nil},
+		{informer.Evacuated, 1, 6, true, []string{"a"}},
+		{informer.Returned, 0, 9, false, []string{"a"}}, // of a former era
+	} {
+		isNew := f.Learn(informer.Fact{
+			Kind:     step.kind,
+			Subject:  "a",
+			Revision: storer.NewRevision(step.era, step.at),
+			Seen:     f.now,
+		}, "peer")
+		is.Equal(isNew, step.isNew)
+		is.Equal(f.Domains(), step.want)
+	}
+	is.Equal(f.changes, 3)
+	is.Equal(len(f.told), 0) // what others told is passed on by the informer
+	f.Apply(removed("a", 1, 8))
+	is.Equal(len(f.told), 1)
+	is.Equal(f.told[0].Kind, informer.Returned)
+	f.Apply(removed("a", 1, 9))
+	is.Equal(len(f.told), 1)
+}
--- a/internal/evacuator/state.go
+++ b/internal/evacuator/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/informer"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -20,6 +21,20 @@
 	HeldUntil time.Time `json:"held"`
 }
 
+// fact returns the state for other instances.
+func (s State) fact() informer.Fact {
+	kind := informer.Returned
+	if s.Evacuated {
+		kind = informer.Evacuated
+	}
+	return informer.Fact{
+		Kind:     kind,
+		Subject:  s.Domain,
+		Revision: s.Revision,
+		Seen:     s.Since,
+	}
+}
+
 // over reports whether a state that a restored store lacks has ended.
 func (s State) over(now time.Time) bool { return !s.HeldUntil.IsZero() && !now.Before(s.HeldUntil) }
 
