Keep all instances within what cold engines tolerate

Cause: nothing read cold_left_ms and cold_per_s, so that an engine which has just started, or comes back with its failure domain, got what any other gets from each instance.

Change: a cold engine is an upstream with a limit that ends: the pacer's gates, permits, fallback and messages carry it beside the limit that the engine may state; the lower one holds. Instances know it from the engine's entry before they can send the first request, holders and peers also from requests for permits and heartbeats. Services whose configuration has no such rate are served as before.

Ruled out: a share of the rate for each instance (58 instances, 7.5 requests a second); a mechanism of its own; a fact of its own in informer, since requests for permits have to say it to the holder anyway.

--- a/internal/app/evacuation.go
+++ b/internal/app/evacuation.go
@@ -19,7 +19,10 @@
 
 // evacuate stops new requests to the upstreams of evacuated failure domains and lets those of domains that were taken back
 // have some. Waiting requests go elsewhere; those that only evacuated upstreams could run are refused.
-func (f *Front) evacuate() {
+func (f *Front) evacuate(state evacuator.State) {
+	if !state.Evacuated {
+		f.assumeCold(state.Domain)
+	}
 	f.router.Refresh()
 	f.queuer.RefuseWaiting(f.server.RefuseStranded)
 }
--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -35,6 +35,7 @@
 		Prefix:          f.config.Upstreams.Prefix,
 		Decode:          f.config.Upstreams.Decode,
 		ReregisterGrace: f.config.Upstreams.ReregisterGrace,
+		Changed:         f.observeCold,
 		Now:             f.now,
 		Log:             f.log,
 	})
--- a/internal/evacuator/config.go
+++ b/internal/evacuator/config.go
@@ -12,8 +12,8 @@
 type Config struct {
 	// Prefix is the prefix of the operator's entries; the rest of a key is the failure domain. Empty means that there are none.
 	Prefix string
-	// Changed is called after failure domains were evacuated or taken back; nil means never.
-	Changed func()
+	// Changed is called after each change of a failure domain, with its state; nil means never.
+	Changed func(state State)
 	// Tell passes a change that this instance has read on to the others; nil means that none are passed on.
 	Tell func(fact informer.Fact)
 	// Now is the clock; nil means time.Now.
@@ -24,7 +24,7 @@
 
 func (c Config) complete() Config {
 	if c.Changed == nil {
-		c.Changed = func() {}
+		c.Changed = func(State) {}
 	}
 	if c.Tell == nil {
 		c.Tell = func(informer.Fact) {}
--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -75,14 +75,10 @@
 	if e.config.Prefix == "" {
 		return
 	}
-	changes := e.apply(update)
-	if len(changes) == 0 {
-		return
-	}
-	for _, change := range changes {
+	for _, change := range e.apply(update) {
 		e.config.Tell(change.fact())
+		e.config.Changed(change)
 	}
-	e.config.Changed()
 }
 
 // Learn applies what another instance has read, and reports whether it is new.
@@ -90,16 +86,17 @@
 	if e.config.Prefix == "" {
 		return false
 	}
-	e.mu.Lock()
-	changed := e.put(State{
+	state := State{
 		Domain:    fact.Subject,
 		Evacuated: fact.Kind == informer.Evacuated,
 		Revision:  fact.Revision,
 		Since:     fact.Seen,
-	}, false, peer)
+	}
+	e.mu.Lock()
+	changed := e.put(state, false, peer)
 	e.mu.Unlock()
 	if changed {
-		e.config.Changed()
+		e.config.Changed(state)
 	}
 	return changed
 }
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -30,7 +30,7 @@
 	}
 	f.Evacuator = evacuator.New(evacuator.Config{
 		Prefix:  "evacuate/",
-		Changed: func() { f.changes++ },
+		Changed: func(evacuator.State) { f.changes++ },
 		Tell:    func(fact informer.Fact) { f.told = append(f.told, fact) },
 		Now:     func() time.Time { return f.now },
 		Log:     log,
--- a/internal/lister/row.go
+++ b/internal/lister/row.go
@@ -18,6 +18,8 @@
 	Writes uint64
 	// Received is the time at which this instance learned of the report.
 	Received time.Time
+	// ColdLeft is how long the upstream was going to stay cold when it wrote the entry; zero if it was not.
+	ColdLeft time.Duration
 	// Departed is set if the upstream has told in an answer that it leaves.
 	Departed bool
 }
--- a/internal/pacer/ask.go
+++ b/internal/pacer/ask.go
@@ -59,7 +59,7 @@
 func (a *ask) fail(now time.Time, err error) {
 	p := a.pacer
 	p.metrics.unanswered.Inc()
-	known := a.gate.known()
+	known := a.gate.known().effective(now)
 	started := a.gate.fail(now, func() *fallback {
 		return newFallback(now, known, p.config.Instances(), p.config.Random)
 	})
--- a/internal/pacer/dump.go
+++ b/internal/pacer/dump.go
@@ -14,6 +14,10 @@
 	Limited bool `json:"limited"`
 	// Rate is the stated limit, in requests per second.
 	Rate float64 `json:"rate"`
+	// Cold is the end of the time in which the upstream is cold; zero if there was none.
+	Cold time.Time `json:"cold"`
+	// ColdRate is the limit in that time, in requests per second.
+	ColdRate float64 `json:"coldrate,omitempty"`
 	// Stated is when an answer last stated it, or when the request was sent whose answer stated none.
 	Stated time.Time `json:"stated"`
 	// Own is when this instance itself last got an answer that stated it.
@@ -62,6 +66,8 @@
 		Upstream: g.upstream.Name,
 		Limited:  g.limit.limited,
 		Rate:     g.limit.rate,
+		Cold:     g.limit.cold.until,
+		ColdRate: g.limit.cold.rate,
 		Stated:   g.limit.at,
 		Own:      g.ownAt,
 		First:    g.counts.first,
--- a/internal/pacer/gate.go
+++ b/internal/pacer/gate.go
@@ -93,6 +93,7 @@
 // set replaces the limit and reports whether it has changed so much that the holder must be told at once. The caller
 // holds the lock.
 func (g *gate) set(l limit) bool {
+	l.cold = g.limit.cold
 	g.limit = l
 	if !l.differs(g.reported) {
 		return false
@@ -102,11 +103,16 @@
 	}
 	g.reported = l
 	g.changedAt = l.at
+	g.renew()
+	return true
+}
+
+// renew forgets what followed from the former limit. The caller holds the lock.
+func (g *gate) renew() {
 	g.batch = 1
 	g.fallback = nil
 	g.waitEnd = time.Time{}
 	g.retryTurn = time.Time{}
-	return true
 }
 
 // admit uses a permit if there is one; resumes is set for a broken stream that goes on. It reports with Pending that
@@ -116,7 +122,7 @@
 	defer g.mu.Unlock()
 	mayUse := resumes || g.resuming == 0
 	switch {
-	case !g.limit.limited || mayUse && g.usePermit(now):
+	case !g.limit.effective(now).limited || mayUse && g.usePermit(now):
 		return Admitted, false
 	case mayUse && g.fallback.take(now):
 		g.counts.fallback++
@@ -206,9 +212,10 @@
 func (g *gate) state(now time.Time) State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	current := g.limit.effective(now)
 	s := State{
-		Limited: g.limit.limited,
-		Rate:    max(g.limit.rate, minRate),
+		Limited: current.limited,
+		Rate:    max(current.rate, minRate),
 		Asking:  g.asking && g.fallback == nil,
 		Next:    g.waitEnd,
 	}
@@ -230,7 +237,7 @@
 		g.retryTurn = earliest
 	}
 	turn := g.retryTurn
-	g.retryTurn = turn.Add(g.limit.interval())
+	g.retryTurn = turn.Add(g.limit.effective(earliest).interval())
 	if latest := earliest.Add(maxRetrySpread); g.retryTurn.After(latest) {
 		g.retryTurn = earliest
 	}
--- a/internal/pacer/gossip.go
+++ b/internal/pacer/gossip.go
@@ -20,7 +20,7 @@
 	message := &pacerpb.Limits{}
 	for _, g := range p.list() {
 		known := g.known()
-		if now.Sub(known.at) > limitTTL || len(message.GetLimits()) == maxAttachedLimits {
+		if now.Sub(known.at) > limitTTL && !known.cold.holds(now) || len(message.GetLimits()) == maxAttachedLimits {
 			continue
 		}
 		message.Limits = append(message.Limits, known.encode(g.upstream, now))
--- a/internal/pacer/grant.go
+++ b/internal/pacer/grant.go
@@ -44,8 +44,8 @@
 	if g := p.gate(upstream); g != nil {
 		known := g.known()
 		grant.Limit = known.encode(upstream, now)
-		if known.limited {
-			granted, wait, err := p.grant(term, upstream, known, count)
+		if current := known.effective(now); current.limited {
+			granted, wait, err := p.grant(term, upstream, current, count)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/pacer/limit.go
+++ b/internal/pacer/limit.go
@@ -13,6 +13,8 @@
 	minRate = 0.05
 	// maxRate is the highest rate that is kept to, in requests per second; a limit above it has no effect on any site.
 	maxRate = 1e6
+	// maxCold is the longest time for which an engine is believed to be cold.
+	maxCold = time.Minute
 	// relayTolerance is the error of the age of knowledge that peers have passed on.
 	relayTolerance = 50 * time.Millisecond
 	// rateTolerance is the fraction by which a limit may change without being reported at once. Requests for permits
@@ -30,6 +32,17 @@
 	rate    float64
 	// at is when the answer that stated the limit arrived, or when the request was sent whose answer stated none.
 	at time.Time
+	// cold is when the upstream is cold, and the limit that it has then besides.
+	cold coldness
+}
+
+// effective returns the limit that holds at a time: the stated one or that of a cold engine, whichever is lower.
+func (l limit) effective(now time.Time) limit {
+	if !l.cold.holds(now) || l.limited && l.rate <= l.cold.rate {
+		return l
+	}
+	l.limited, l.rate = true, l.cold.rate
+	return l
 }
 
 // supersedes reports whether knowledge that a peer has passed on replaces what is known here. Of two limits stated at
@@ -56,7 +69,7 @@
 
 // encode returns the wire form of the limit.
 func (l limit) encode(upstream Upstream, now time.Time) *pacerpb.Limit {
-	return &pacerpb.Limit{
+	message := &pacerpb.Limit{
 		Upstream: upstream.Name,
 		Start:    upstream.Start,
 		Domain:   upstream.Domain,
@@ -64,6 +77,10 @@
 		Rate:     l.rate,
 		Age:      int64(max(0, now.Sub(l.at))),
 	}
+	if l.cold.holds(now) {
+		message.Cold, message.Left = l.cold.rate, int64(l.cold.until.Sub(now))
+	}
+	return message
 }
 
 // decodeLimit returns the upstream and the limit of a message.
@@ -81,5 +98,11 @@
 	if !(decoded.rate >= 0) {
 		decoded.rate = 0
 	}
+	if left := time.Duration(message.GetLeft()); left > 0 && left <= maxCold && message.GetCold() >= 0 {
+		decoded.cold = coldness{
+			until: now.Add(left),
+			rate:  message.GetCold(),
+		}
+	}
 	return upstream, decoded
 }
--- a/internal/pacer/metrics.go
+++ b/internal/pacer/metrics.go
@@ -6,6 +6,8 @@
 type pacerMetrics struct {
 	// statements counts the changes of limits.
 	statements *metrics.Counter
+	// cold counts the engines that became cold.
+	cold *metrics.Counter
 	// first and repeated count the requests sent to upstreams with a limit.
 	first    *metrics.Counter
 	repeated *metrics.Counter
@@ -21,6 +23,7 @@
 func newPacerMetrics() pacerMetrics {
 	return pacerMetrics{
 		statements: metrics.GetOrCreateCounter("buckthorngap_pace_statements_total"),
+		cold:       metrics.GetOrCreateCounter("buckthorngap_pace_cold_total"),
 		first:      metrics.GetOrCreateCounter(`buckthorngap_pace_sent_total{attempt="first"}`),
 		repeated:   metrics.GetOrCreateCounter(`buckthorngap_pace_sent_total{attempt="repeated"}`),
 		denied:     metrics.GetOrCreateCounter("buckthorngap_pace_denied_total"),
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -174,6 +174,9 @@
 // learn applies what a peer knows of a limit.
 func (p *Pacer) learn(message *pacerpb.Limit) {
 	upstream, l := decodeLimit(message, p.config.Now())
+	if left := l.cold.until.Sub(p.config.Now()); left > 0 && upstream.Name != "" {
+		p.ExtendCold(upstream, left, l.cold.rate)
+	}
 	g := p.gate(upstream)
 	if g == nil {
 		if !l.limited || upstream.Name == "" {
@@ -295,7 +298,7 @@
 	var gone []Upstream
 	for _, g := range p.list() {
 		known := g.known()
-		if now.Sub(known.at) > limitTTL && (!known.limited || !p.config.Listed(g.upstream)) {
+		if now.Sub(known.at) > limitTTL && !known.cold.holds(now) && (!known.limited || !p.config.Listed(g.upstream)) {
 			gone = append(gone, g.upstream)
 		}
 	}
--- a/pkg/configurator/types.go
+++ b/pkg/configurator/types.go
@@ -117,6 +117,9 @@
 	// Connections is the maximum number of connections to each of the service's
 	// instances in total; zero means no limit.
 	Connections int `json:"connections,omitempty"`
+	// ColdRate is the number of requests per second that an instance of the service tolerates while it is cold; zero means as
+	// many as ever.
+	ColdRate float64 `json:"coldrate,omitempty"`
 	// Engine is set if the service's instances are engines that run models.
 	Engine *Engine `json:"engine,omitempty"`
 }
