--- a/internal/operator/recordproto.go
+++ b/internal/operator/recordproto.go
@@ -111,6 +111,7 @@
 		Open:        service.GetOpen(),
 		Once:        service.GetOnce(),
 		Connections: int(service.GetConnections()),
+		ColdRate:    service.GetColdrate(),
 		Engine:      engineFromProto(service.GetEngine()),
 	}
 }
@@ -226,6 +227,7 @@
 		Open:        service.Open,
 		Once:        service.Once,
 		Connections: int32(service.Connections),
+		Coldrate:    service.ColdRate,
 		Engine:      engineToProto(service.Engine),
 	}
 }
