Keep requests in the regions of their route and team

Change: routes and teams of the configuration name regions. The server translates what both allow into failure domains, which the request's need carries to wherever an upstream is chosen: first attempts, retries, resumed streams, requests sent again, the queue, loads of its model. What no domain may get, or no upstream at home runs, is refused at once.

Ruled out: regions in the router (it would need the map of domains as well); filtering by software version in the same place, which would change limits and pauses of streams.

CountReady of the router takes the need in place of the checkpoint; selection_test.go asks for the same with it.

--- a/internal/app/admission.go
+++ b/internal/app/admission.go
@@ -83,7 +83,7 @@
 
 // loaded reports whether some engine has a ready copy of the checkpoint that a request needs.
 func (i *Instance) loaded(ticket *queuer.Ticket) bool {
-	return i.router.CountReady(ticket.Value.(router.Need).Checkpoint) > 0
+	return i.router.CountReady(ticket.Value.(router.Need)) > 0
 }
 
 // releaseChoice releases the placement of a request that left the queue while it was being placed.
--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -56,6 +56,8 @@
 	// EvacuationPrefix is the prefix of the store keys with which an operator evacuates failure domains; empty means that none
 	// are.
 	EvacuationPrefix string
+	// Regions maps each failure domain to its region.
+	Regions map[string]string
 	// HeaderFormat is the protocol with callers: header fields and their encodings.
 	HeaderFormat server.HeaderFormat
 	// Dialect is the protocol with upstreams: header fields and their encodings.
@@ -237,8 +239,9 @@
 		SetLoaded:       f.router.SetLoaded,
 		Stranded:        f.router.Stranded,
 		CountReady:      f.router.CountReady,
-		StartLoad: func(ctx context.Context, service, checkpoint string) (time.Time, bool) {
-			return f.stager.RequestLoad(ctx, service, checkpoint)
+		DomainsOf:       f.domainsOf,
+		StartLoad: func(ctx context.Context, need router.Need) (time.Time, bool) {
+			return f.stager.RequestLoad(ctx, need)
 		},
 		LoadAdapter: func(ctx context.Context, choice *router.Choice, need router.Need) error {
 			return f.stager.LoadAdapter(ctx, choice, need)
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -56,6 +56,7 @@
 		Reserve:            i.limiter.Reserve,
 		Enter:              i.queuer.Enter,
 		AddDemand:          i.addDemand,
+		DomainsOf:          i.domainsOf,
 		Claim:              i.claimer.Claim,
 		AwaitService:       i.router.AwaitService,
 		Limited:            i.router.Limited,
--- a/internal/operator/recordproto.go
+++ b/internal/operator/recordproto.go
@@ -36,6 +36,7 @@
 			Flat:      kind.Team.GetFlat(),
 			Ranked:    kind.Team.GetRanked(),
 			Priority:  int(kind.Team.GetPriority()),
+			Regions:   kind.Team.GetRegions(),
 		}
 	case *operatorpb.Record_Key:
 		operation.Key = &configurator.Key{
@@ -131,6 +132,7 @@
 				Flat:      operation.Team.Flat,
 				Ranked:    operation.Team.Ranked,
 				Priority:  int32(operation.Team.Priority),
+				Regions:   operation.Team.Regions,
 			},
 		}
 	case operation.Key != nil:
--- a/internal/operator/routeproto.go
+++ b/internal/operator/routeproto.go
@@ -53,6 +53,7 @@
 		Attempts:  int(route.GetAttempts()),
 		Priority:  int(route.GetPriority()),
 		Affinity:  route.GetAffinity(),
+		Regions:   route.GetRegions(),
 	}
 	for _, target := range route.GetTargets() {
 		converted.Targets = append(converted.Targets, configurator.Target{
@@ -79,6 +80,7 @@
 		Attempts:  int32(route.Attempts),
 		Priority:  int32(route.Priority),
 		Affinity:  route.Affinity,
+		Regions:   route.Regions,
 	}
 	for _, target := range route.Targets {
 		message.Targets = append(message.Targets, &operatorpb.Target{
--- a/internal/router/candidatecounts.go
+++ b/internal/router/candidatecounts.go
@@ -28,7 +28,7 @@
 	now := r.config.Now()
 	var counts CandidateCounts
 	for _, u := range r.index.Load().candidates(&need) {
-		if !need.suits(*u.version.Load()) {
+		if !need.suits(u) {
 			continue
 		}
 		counts.Total++
--- a/internal/router/catalog.go
+++ b/internal/router/catalog.go
@@ -13,13 +13,23 @@
 	}
 }
 
-// candidates returns the upstreams that have the checkpoint or run the service of
-// a request; adapters are not considered.
+// candidates returns the upstreams that have the checkpoint or run the service of a request, in the failure domains that it may
+// go to; adapters and software versions are not considered.
 func (c catalog) candidates(need *Need) []*upstream {
+	all := c.engines[need.Checkpoint]
 	if need.Checkpoint == "" {
-		return c.services[need.Service]
+		all = c.services[need.Service]
 	}
-	return c.engines[need.Checkpoint]
+	if !need.Bound {
+		return all
+	}
+	var admitted []*upstream
+	for _, u := range all {
+		if need.Admits(*u.domain.Load()) {
+			admitted = append(admitted, u)
+		}
+	}
+	return admitted
 }
 
 // add adds an upstream.
--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/internal/router"
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
 // TestEvacuatedUpstreamGetsNoRequests guards against requests to the upstreams of an evacuated failure domain: new ones, those
@@ -26,7 +29,7 @@
 		is.True(ok)
 		is.Equal(choice.Upstream, "engine1")
 	}
-	is.Equal(r.CountReady("m-1"), 1)
+	is.Equal(r.CountReady(need), 1)
 	is.True(!r.Stranded(need)) // the other one is only full
 	f.rows[1].Evacuated = true
 	r.Refresh()
@@ -40,3 +43,48 @@
 	is.True(ok)
 	is.Equal(choice.Upstream, "engine0")
 }
+
+// TestRequestsStayInTheirDomains guards against requests that leave the failure domains to which route and team bind them: at their
+// first attempt, again at a named upstream, or because an upstream elsewhere caches the prompt.
+func TestRequestsStayInTheirDomains(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	f.rows[0].Domain, f.rows[1].Domain = "east", "west"
+	r := router.New(router.Config{
+		Domain:       "central",
+		OtherDomains: true,
+		Upstreams:    func() []storer.Instance { return f.rows },
+		Report: func(name string) (reporter.Report, time.Time, bool) {
+			report, ok := f.reports[name]
+			return report, f.now, ok
+		},
+		Now: func() time.Time { return f.now },
+	})
+	r.Refresh()
+	r.RecordCacheEvent("engine2", "5", true)
+	bound := router.Need{
+		Checkpoint: "m-1",
+		Prefix:     5,
+		Bound:      true,
+		Domains:    []string{"east"},
+	}
+	for range 4 {
+		choice, ok := r.Pick(bound)
+		is.True(ok)
+		is.Equal(choice.Upstream, "engine0")
+	}
+	_, ok := r.Pick(bound) // full
+	is.True(!ok)
+	_, ok = r.PickUpstream("engine1", bound)
+	is.True(!ok)
+	is.Equal(r.CountReady(bound), 1)
+	bound.Domains = []string{"north"}
+	is.Equal(r.CountReady(bound), 0)
+	is.Equal(r.CountCandidates(bound).Total, 0)
+	bound.Domains = nil
+	_, ok = r.Pick(bound)
+	is.True(!ok)
+	choice, ok := r.PickUpstream("engine1", need)
+	is.True(ok)
+	is.Equal(choice.Upstream, "engine1")
+}
--- a/internal/router/need.go
+++ b/internal/router/need.go
@@ -26,6 +26,9 @@
 	// new streams may begin when the upstream is chosen.
 	Versions  []string
 	Versioned bool
+	// Domains are the failure domains whose upstreams may get the request, if Bound is set.
+	Domains []string
+	Bound   bool
 	// Waits is set if the request can wait for the permit of an upstream with a limit, rather than go to an
 	// upstream that suits it less.
 	Waits bool
@@ -34,7 +37,10 @@
 	awaitsPermit bool
 }
 
-// suits reports whether the request may go to an upstream that runs a software version.
-func (n *Need) suits(version string) bool {
-	return !n.Versioned || slices.Contains(n.Versions, version)
+// suits reports whether the request may go to an upstream by its software version and failure domain.
+func (n *Need) suits(u *upstream) bool {
+	return n.Admits(*u.domain.Load()) && (!n.Versioned || slices.Contains(n.Versions, *u.version.Load()))
 }
+
+// Admits reports whether the request may go to upstreams of a failure domain.
+func (n *Need) Admits(domain string) bool { return !n.Bound || slices.Contains(n.Domains, domain) }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -149,10 +149,9 @@
 	return u != nil && u.paced() == upstream
 }
 
-// CountReady returns the number of upstreams with a ready copy of a checkpoint.
-func (r *Router) CountReady(checkpoint string) int {
-	return len(r.index.Load().accepting.engines[checkpoint])
-}
+// CountReady returns the number of upstreams with a ready copy of the checkpoint of a request, in the failure domains that it may
+// go to.
+func (r *Router) CountReady(need Need) int { return len(r.index.Load().candidates(&need)) }
 
 // Pick chooses an upstream and holds a slot on it until Choice.Done. It returns false if no upstream
 // that meets the need accepts a request now.
--- a/internal/router/selection_test.go
+++ b/internal/router/selection_test.go
@@ -89,7 +89,7 @@
 	e := newTwoEngines()
 	e.SetLoaded("a", "m", "", false)
 	e.publish()
-	is.Equal(e.CountReady("m"), 1)
+	is.Equal(e.CountReady(router.Need{Checkpoint: "m"}), 1)
 	for range 8 {
 		choice, ok := e.pick("")
 		is.True(ok)
@@ -98,7 +98,7 @@
 	}
 	e.now = e.now.Add(time.Minute)
 	e.publish()
-	is.Equal(e.CountReady("m"), 2) // the override has expired
+	is.Equal(e.CountReady(router.Need{Checkpoint: "m"}), 2) // the override has expired
 }
 
 // TestCooldownIsReportedWhileAllCircuitsAreOpen checks that CooldownEnd returns the end of the cooldown once
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -158,7 +158,7 @@
 // with the adapter unless that may be loaded first.
 func (u *upstream) canServe(need *Need) bool {
 	current := u.snapshot.Load()
-	if current.leaving || !need.suits(*u.version.Load()) || need.Service != "" && *u.service.Load() != need.Service {
+	if current.leaving || !need.suits(u) || need.Service != "" && *u.service.Load() != need.Service {
 		return false
 	}
 	if need.Checkpoint == "" {
--- a/internal/router/weightedchoice.go
+++ b/internal/router/weightedchoice.go
@@ -109,7 +109,7 @@
 // acquire takes a slot on an upstream and a permit if it has a limit, credits the retry budget, and updates the
 // prefix hints and the model of the engine's prompt cache.
 func (r *Router) acquire(u *upstream, need *Need) (*Choice, bool) {
-	if need.awaitsPermit || slices.Contains(need.Exclude, u.name) || !need.suits(*u.version.Load()) || !u.available(r.config.Now()) {
+	if need.awaitsPermit || slices.Contains(need.Exclude, u.name) || !need.suits(u) || !u.available(r.config.Now()) {
 		return nil, false
 	}
 	if admission := r.config.Admit(u.paced()); admission != pacer.Admitted {
--- a/internal/server/enqueue.go
+++ b/internal/server/enqueue.go
@@ -57,7 +57,7 @@
 	}
 	if e.routed {
 		ticket.Deadline = e.startBy
-		ticket.Model = e.need.Service + "/" + e.need.Checkpoint
+		ticket.Model = e.need.Service + "/" + e.need.Checkpoint + e.domainsKey()
 	}
 	if limited := e.server.config.Limited; limited != nil && limited(e.need) {
 		now := e.server.config.Now()
--- a/internal/server/resolver.go
+++ b/internal/server/resolver.go
@@ -60,7 +60,7 @@
 		Adapter:    e.adapter.Name,
 		Prefix:     e.prefix(),
 	}
-	return nil
+	return e.restrictDomains(nil)
 }
 
 // teamAllowed reports whether a team is on the list; an empty list allows every team.
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -118,6 +118,10 @@
 		e.need = router.Need{
 			Service: e.service.Name,
 		}
+		if refusal := e.restrictDomains(e.route.Regions); refusal != nil {
+			e.logResolved()
+			return nil, refusal
+		}
 		e.awaitEvidence(ctx)
 		if refusal := e.refuseIfQuarantined(); refusal != nil {
 			e.logResolved()
@@ -244,16 +248,16 @@
 		return refusal
 	}
 	if e.need.Checkpoint == "" {
-		return e.server.refuseStranded(e.need)
+		return e.refuseIfAway()
 	}
-	if config.CountReady == nil || config.CountReady(e.need.Checkpoint) > 0 {
+	if config.CountReady == nil || config.CountReady(e.need) > 0 {
 		return nil
 	}
 	refusal := newRefusal(refuser.CodeNoUpstream, "no engine has the model")
 	if config.StartLoad == nil {
 		return refusal
 	}
-	at, loading := config.StartLoad(ctx, e.need.Service, e.need.Checkpoint)
+	at, loading := config.StartLoad(ctx, e.need)
 	if loading && at.Before(e.startBy) {
 		return nil
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -59,9 +59,9 @@
 	HeaderFormat HeaderFormat
 	// Routed is set if every request is forwarded by route and the server has no paths of its own.
 	Routed bool
-	// StartLoad starts loading a model that no engine holds. It returns when the model will be ready, or false and when
+	// StartLoad starts loading a model that no engine holds in the failure domains that a request may go to. It returns when the model will be ready, or false and when
 	// to try again; nil means that no model can be loaded.
-	StartLoad func(ctx context.Context, service, checkpoint string) (time.Time, bool)
+	StartLoad func(ctx context.Context, need router.Need) (time.Time, bool)
 	// LoadAdapter loads the adapter that Choice.AdapterMissing reports as missing; nil means that nothing can be loaded.
 	LoadAdapter func(ctx context.Context, choice *router.Choice, need router.Need) error
 	// Place chooses another upstream for a routed request, without waiting in the queue.
@@ -82,8 +82,11 @@
 	// Stranded reports whether all upstreams that a routed request could go to are in evacuated failure domains; nil means
 	// never.
 	Stranded func(need router.Need) bool
-	// CountReady returns the number of engines that hold a checkpoint; nil means not known.
-	CountReady func(checkpoint string) int
+	// CountReady returns the number of engines that hold the checkpoint of a request, or of upstreams that run its service, in
+	// the failure domains that it may go to; nil means not known.
+	CountReady func(need router.Need) int
+	// DomainsOf returns the failure domains of regions; nil means that regions are ignored.
+	DomainsOf func(regions []string) []string
 	// Quarantine has the functions for prompts that crash engines.
 	Quarantine Quarantine
 	// Streams keep streams at the software version that began them; unset if every version may go on with them.
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -64,6 +64,9 @@
 		if !e.service.Open && !s.config.Allows(e.service.Teams, e.key.Team) {
 			return nil, newRefusal(refuser.CodeForbidden, "the service is not open to the team")
 		}
+		if refusal := e.restrictDomains(nil); refusal != nil {
+			return nil, refusal
+		}
 		if refusal := e.readBody(); refusal != nil {
 			return nil, refusal
 		}
--- a/internal/stager/request.go
+++ b/internal/stager/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -157,13 +159,13 @@
 	})
 }
 
-// RequestLoad requests the load of a model that no engine holds, and returns when the model will be
-// ready and true. If it cannot be loaded, it returns false and when the request may be retried, if
+// RequestLoad requests the load of the model of a request that no engine holds in the failure domains that the request may go to,
+// and returns when the model will be ready and true. If it cannot be loaded, it returns false and when the request may be retried, if
 // known.
-func (s *Stager) RequestLoad(ctx context.Context, service, checkpoint string) (time.Time, bool) {
+func (s *Stager) RequestLoad(ctx context.Context, need router.Need) (time.Time, bool) {
 	ctx, cancel := context.WithTimeout(ctx, modelTimeout)
 	defer cancel()
-	request := s.requestModel(ctx, service, checkpoint)
+	request := s.requestModel(ctx, need)
 	if err := request.wait(ctx); err != nil {
 		return retryTime(err), false
 	}
@@ -180,10 +182,13 @@
 
 // requestModel returns the request for a model, and starts it if none is under way. Its answer
 // is kept for a while, so that not every caller sends a new request.
-func (s *Stager) requestModel(ctx context.Context, service, checkpoint string) *loadRequest {
-	key := "model " + checkpoint
+func (s *Stager) requestModel(ctx context.Context, need router.Need) *loadRequest {
+	key := "model " + need.Checkpoint
+	if need.Bound {
+		key += " " + strings.Join(need.Domains, " ")
+	}
 	return s.joinOrStart(key, func(request *loadRequest) {
-		s.sendModel(context.WithoutCancel(ctx), key, request, service, checkpoint)
+		s.sendModel(context.WithoutCancel(ctx), key, request, need)
 	})
 }
 
@@ -192,16 +197,16 @@
 
 // sendModel sends the request for a model to the holders that may load it, and repeats it until
 // the load is done.
-func (s *Stager) sendModel(ctx context.Context, key string, request *loadRequest, service, checkpoint string) {
-	answer := s.requestFromTargets(ctx, service, checkpoint)
-	s.complete(request, answer, s.config.Log.WithField("checkpoint", checkpoint))
-	s.awaitLoad(ctx, answer, service, checkpoint)
+func (s *Stager) sendModel(ctx context.Context, key string, request *loadRequest, need router.Need) {
+	answer := s.requestFromTargets(ctx, need)
+	s.complete(request, answer, s.config.Log.WithField("checkpoint", need.Checkpoint))
+	s.awaitLoad(ctx, answer, need)
 	s.forget(key)
 }
 
 // awaitLoad repeats the request until the model is loaded, and then reports that to Config.SetLoaded.
 // After a refusal it returns once answerTTL has passed.
-func (s *Stager) awaitLoad(ctx context.Context, answer *stagerpb.Told, service, checkpoint string) {
+func (s *Stager) awaitLoad(ctx context.Context, answer *stagerpb.Told, need router.Need) {
 	for tries := 0; tries < maxFollowUps; tries++ {
 		if answer.GetRefused() != "" {
 			waiter.Pause(ctx, answerTTL)
@@ -211,10 +216,10 @@
 			return
 		}
 		if answer.GetWait() == 0 {
-			s.config.SetLoaded(answer.GetEngine(), checkpoint, "", true)
+			s.config.SetLoaded(answer.GetEngine(), need.Checkpoint, "", true)
 			return
 		}
-		answer = s.requestFromTargets(ctx, service, checkpoint)
+		answer = s.requestFromTargets(ctx, need)
 	}
 }
 
@@ -224,19 +229,20 @@
 // requestFromTargets sends the request to the holders of duties, in an order on which all
 // instances agree: first those whose engines have the weights in memory or on disk. The next
 // holder gets the request if the previous one refuses.
-func (s *Stager) requestFromTargets(ctx context.Context, service, checkpoint string) *stagerpb.Told {
+func (s *Stager) requestFromTargets(ctx context.Context, need router.Need) *stagerpb.Told {
 	ctx, cancel := context.WithTimeout(ctx, modelTimeout)
 	defer cancel()
 	answer := &stagerpb.Told{
 		Refused: "no engine of the service is listed",
 	}
-	for i, target := range s.targets(service, checkpoint) {
+	targets := slices.DeleteFunc(s.targets(need.Service, need.Checkpoint), func(t target) bool { return !need.Admits(t.domain) })
+	for i, target := range targets {
 		if i >= maxTargets || ctx.Err() != nil {
 			break
 		}
 		answer = s.sendToDomain(ctx, target.domain, &stagerpb.Ask{
-			Service:    service,
-			Checkpoint: checkpoint,
+			Service:    need.Service,
+			Checkpoint: need.Checkpoint,
 			Duty:       uint32(target.number),
 		})
 		if answer.GetRefused() == "" {
--- a/pkg/configurator/route.go
+++ b/pkg/configurator/route.go
@@ -41,6 +41,8 @@
 	// Affinity sends requests whose prompts have a common prefix to the same
 	// upstreams.
 	Affinity bool `json:"affinity,omitempty"`
+	// Regions are the regions whose upstreams may get requests of the route; empty means all.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Target is one service that a route distributes requests to.
--- a/pkg/configurator/types.go
+++ b/pkg/configurator/types.go
@@ -25,6 +25,8 @@
 	// Priority orders the team's requests against others; 0 is the highest
 	// priority.
 	Priority int `json:"priority,omitempty"`
+	// Regions are the regions whose upstreams may get the team's requests; empty means all.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // Key authenticates requests as those of a team.
