Let requests wait for a load elsewhere when another domain is evacuated or taken back

Cause: each change of an evacuated domain refused the waiting requests whose model only evacuated engines hold, those included that wait for a load in another domain since an earlier evacuation.

Change: only requests that the domain which has just been evacuated strands are refused, and none when a domain is taken back.

Tests: those of Stranded and RefuseStranded name the domain; a domain that did not strand the request is a new case, which no earlier code passes.

--- a/internal/app/evacuation.go
+++ b/internal/app/evacuation.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/buckthorngap/buckthorngap/internal/evacuator"
 	"github.com/buckthorngap/buckthorngap/internal/lister"
+	"github.com/buckthorngap/buckthorngap/internal/queuer"
+	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -22,9 +24,11 @@
 func (f *Front) evacuate(state evacuator.State) {
 	if !state.Evacuated {
 		f.assumeCold(state.Domain)
+		f.router.Refresh()
+		return
 	}
 	f.router.Refresh()
-	f.queuer.RefuseWaiting(f.server.RefuseStranded)
+	f.queuer.RefuseWaiting(func(ticket queuer.Ticket) *refuser.Refusal { return f.server.RefuseStranded(ticket, state.Domain) })
 }
 
 // listUpstreams returns the listed upstreams. Those in evacuated failure domains are marked, and count as leaving to the parts
--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -30,13 +30,15 @@
 		is.Equal(choice.Upstream, "engine1")
 	}
 	is.Equal(r.CountReady(need), 1)
-	is.True(!r.Stranded(need)) // the other one is only full
+	is.True(!r.Stranded(need, "")) // the other one is only full
 	f.rows[1].Evacuated = true
 	r.Refresh()
-	is.True(r.Stranded(need))
+	is.True(r.Stranded(need, ""))
+	is.True(r.Stranded(need, "central"))
+	is.True(!r.Stranded(need, "east")) // the evacuation of another domain changes nothing
 	is.True(!r.Stranded(router.Need{
 		Checkpoint: "m-2",
-	})) // no engine ever had it
+	}, "")) // no engine ever had it
 	f.rows[0].Evacuated = false
 	r.Refresh()
 	choice, ok := r.Pick(need)
--- a/internal/router/stranded.go
+++ b/internal/router/stranded.go
@@ -1,7 +1,15 @@
 package router
 
-// Stranded reports whether all upstreams that could run a request now are in evacuated failure domains.
-func (r *Router) Stranded(need Need) bool {
+import "slices"
+
+// Stranded reports whether no upstream could run a request now, but some in a failure domain that is evacuated could otherwise. An
+// empty domain means any.
+func (r *Router) Stranded(need Need, domain string) bool {
 	current := r.index.Load()
-	return len(current.accepting.candidates(&need)) == 0 && len(current.evacuated.candidates(&need)) > 0
+	if len(current.accepting.candidates(&need)) > 0 {
+		return false
+	}
+	return slices.ContainsFunc(current.evacuated.candidates(&need), func(u *upstream) bool {
+		return domain == "" || *u.domain.Load() == domain
+	})
 }
--- a/internal/server/homes.go
+++ b/internal/server/homes.go
@@ -46,7 +46,7 @@
 // refuseIfAway refuses a request to a plain service at once that would wait for an upstream in vain: all are in evacuated failure
 // domains, or none is in one that the request may go to.
 func (e *exchange) refuseIfAway() *refuser.Refusal {
-	if refusal := e.server.refuseStranded(e.need); refusal != nil {
+	if refusal := e.server.refuseStranded(e.need, ""); refusal != nil {
 		return refusal
 	}
 	count := e.server.config.CountReady
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -79,9 +79,9 @@
 	// CountCandidates counts the upstreams that a routed request could go to, for the log; nil means that the counts are
 	// not logged.
 	CountCandidates func(need router.Need) router.CandidateCounts
-	// Stranded reports whether all upstreams that a routed request could go to are in evacuated failure domains; nil means
-	// never.
-	Stranded func(need router.Need) bool
+	// Stranded reports whether all upstreams that a routed request could go to are in evacuated failure domains, some of them in
+	// the given one; an empty domain means any. nil means never.
+	Stranded func(need router.Need, domain string) bool
 	// CountReady returns the number of engines that hold the checkpoint of a request, or of upstreams that run its service, in
 	// the failure domains that it may go to; nil means not known.
 	CountReady func(need router.Need) int
--- a/internal/server/stranded_test.go
+++ b/internal/server/stranded_test.go
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	config := server.Config{
 		Routed:   true,
-		Stranded: func(need router.Need) bool { return need.Service == "desk" },
+		Stranded: func(need router.Need, domain string) bool { return need.Service == "desk" && domain != "east" },
 	}
 	f := newRoutedFixture(t, config, func(http.ResponseWriter, *http.Request) {})
 	response, _ := f.send(t, http.MethodGet, "/open/1", "")
@@ -33,8 +33,13 @@
 			Value: router.Need{
 				Service: service,
 			},
-		})
+		}, "west")
 		is.Equal(refusal != nil, refused)
 		is.True(!refused || refusal.Outcome == refuser.NotRun)
+		is.True(s.RefuseStranded(queuer.Ticket{
+			Value: router.Need{
+				Service: service,
+			},
+		}, "east") == nil)
 	}
 }
