Drop upstreams at once that left while the store turned away one instance alone

The store turned 20 instances away until 11.5 s, among them the reader front-ke-central-b-2, whose peers passed on what they read. An engine was removed at 10.8 s. At 11.9 s the store answered the reader again; its first reading had the removal, and counted as the first one after an outage, so that it and all that asked it kept the engine for the 2.5 s in which lapsed entries come back (upstream.gone with the reason "missing after the store's return" at 14.5 to 14.8 s).

Change: an instance whose peers passed on what the store answered them 1.5 s ago at most does not take its return for the end of an outage. Those peers' own recovery is still passed on.

Measured: TestStoreThatServedOthersWasNotOut, red before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -31,6 +31,9 @@
 	overdue = 800 * time.Millisecond
 	// peerInterval is the time between two queries of other instances while the store does not answer.
 	peerInterval = 400 * time.Millisecond
+	// maxGap is how long ago the store may have answered other instances for it to count as serving all the while. It covers
+	// the pause between two of their reads.
+	maxGap = 1500 * time.Millisecond
 )
 
 // hashSeed is the seed of the hashes of entries. It may differ between processes, since the hashes
@@ -53,6 +56,8 @@
 	answered time.Time
 	// fromPeers is set if other instances have passed on updates since the store last answered.
 	fromPeers bool
+	// confirmed is when the store answered the instance that passed on the last update since then.
+	confirmed time.Time
 	// query is the query of other instances that is under way; nil if there is none.
 	query *peerQuery
 }
@@ -188,6 +193,7 @@
 			"failures": f.failures,
 		}).Info("store.relayed")
 	}
+	f.confirmed = relayed.AsOf
 	f.applyRelayed(relayed, false)
 }
 
@@ -238,10 +244,12 @@
 	f.deliver(relayed.AsOf, update)
 }
 
-// recovered records that the store answered, and reports whether it had failed before.
+// recovered records that the store answered, and reports whether it had failed before. One that turned this instance away but
+// served others, which passed on what they read, has not: what was deleted meanwhile has not lapsed because of it.
 func (f *Follower) recovered() bool {
 	failures := f.failures
 	lost := f.sinceAnswer()
+	served := f.fromPeers && f.config.Now().Sub(f.confirmed) <= maxGap
 	f.failures = 0
 	f.answered = f.config.Now()
 	f.fromPeers = false
@@ -253,8 +261,9 @@
 		"revision": f.revision,
 		"failures": failures,
 		"after":    lost,
+		"served":   served,
 	}).Info("store.regained")
-	return true
+	return !served
 }
 
 // sinceAnswer returns the time since the store last answered, or zero if it never did.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -239,3 +239,55 @@
 		is.Equal(len(updates[3].Renewed), 1)
 	})
 }
+
+// TestStoreThatServedOthersWasNotOut guards against entries that were deleted while the store turned this instance alone away, and
+// that are held for lapsed ones because the store seems to return from an outage.
+func TestStoreThatServedOthersWasNotOut(t *testing.T) {
+	for name, test := range map[string]struct {
+		// age is how long ago the store answered the instances that pass its answers on.
+		age time.Duration
+		out bool
+	}{
+		"it served others":               {300 * time.Millisecond, false},
+		"it has not served others since": {3 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				unavailable := func() (storer.Changes, error) { return storer.Changes{}, &storer.Unavailable{} }
+				s := &scriptedStore{
+					watches: []func() (storer.Changes, error){
+						changed("a", 1), unavailable, unavailable, unavailable, unavailable, unavailable, changed("c", 9), unavailable, changed("d", 10),
+					},
+				}
+				revision := storer.Revision(1)
+				var last []follower.Update
+				f := follower.New(follower.Config{
+					Store: s.store(),
+					FetchFromPeers: func(context.Context, storer.Revision, bool) (follower.Relayed, bool) {
+						revision = min(revision+1, 8)
+						return follower.Relayed{
+							Update: follower.Update{
+								Revision: revision,
+							},
+							AsOf: time.Now().Add(-test.age),
+						}, len(s.afters) < 8
+					},
+					Apply: func(update follower.Update) {
+						if len(update.Entries) > 0 {
+							last = append(last, update)
+						}
+					},
+					Log: quiet(),
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				_ = f.Run(ctx)
+				is.Equal(len(last), 3)
+				is.Equal(last[1].Revision, storer.Revision(9))
+				is.Equal(last[1].Recovered, test.out)
+				is.True(last[2].Recovered) // a failure since then that nobody bridged
+			})
+		})
+	}
+}
--- a/internal/follower/update.go
+++ b/internal/follower/update.go
@@ -14,7 +14,7 @@
 	Deleted []string
 	// Revision is the store's revision up to which the update is complete.
 	Revision storer.Revision
-	// Recovered is set if the store answered again after failures.
+	// Recovered is set if the store answered again after failures, unless it has served other instances all the while.
 	Recovered bool
 	// Restored is set if the store was restored from a copy since the last update. Entries, which are complete then, may be
 	// older than those of earlier updates.
