Reset connections that are closed with unacknowledged bytes

Cause: a request that is given up only closes its connection.

Change: the connector hands out connections whose Close resets them if bytes are unacknowledged or a write is under way. Otherwise it closes in the ordinary way, which is repeated until the upstream has got it. A process that ends without closing resets too.

Ruled out: a reset in the forwarder (net/http closes connections itself when a context ends), and one of every connection with a request under way (a reset that a partition loses is not repeated).

--- a/internal/binder/call.go
+++ b/internal/binder/call.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/time/rate"
 
+	"github.com/buckthorngap/buckthorngap/internal/connector"
 	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/internal/waiter"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
@@ -42,6 +43,7 @@
 	protocols.SetHTTP1(true)
 	return &http.Client{
 		Transport: verifier.New(&http.Transport{
+			DialContext:         connector.New(0).DialContext,
 			Protocols:           &protocols,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     time.Minute,
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -1,8 +1,9 @@
-// Package connector opens TCP connections that detect a peer that has become unreachable without closing
-// the connection.
+// Package connector opens TCP connections to upstreams and to the store. They detect a peer that has become unreachable without
+// closing the connection, and when they are closed, bytes that the peer has not received are discarded.
 package connector
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -21,26 +22,54 @@
 	userTimeout = 2500 * time.Millisecond
 )
 
-// New returns a dialer that takes at most the given timeout to open a connection.
-func New(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
+// Connector opens connections.
+type Connector struct {
+	dialer net.Dialer
+}
+
+// New returns a Connector that takes at most the given timeout to open a connection; zero means no limit.
+func New(timeout time.Duration) *Connector {
+	return &Connector{
+		dialer: net.Dialer{
+			Timeout: timeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     keepAliveIdle,
+				Interval: keepAliveInterval,
+				Count:    keepAliveCount,
+			},
+			Control: setOptions,
 		},
-		Control: setUserTimeout,
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT. While sent data is unacknowledged, keep-alive probes are not sent
-// and this timeout detects the silent peer.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// DialContext opens a TCP connection to an address.
+func (c *Connector) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	opened, err := c.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := opened.(*net.TCPConn)
+	if !ok {
+		return opened, nil
+	}
+	return &connection{
+		Conn:   tcp,
+		socket: tcp,
+	}, nil
+}
+
+// setOptions sets TCP_USER_TIMEOUT, as keep-alive probes are not sent while sent data is unacknowledged, and this timeout detects
+// the silent peer. SO_LINGER makes the kernel reset the connection if the process ends without closing it.
+func setOptions(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 	err := raw.Control(func(descriptor uintptr) {
 		optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		if optionErr == nil {
+			optionErr = unix.SetsockoptLinger(int(descriptor), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{
+				Onoff: 1,
+			})
+		}
 	})
 	if err != nil {
 		return err
--- a/internal/forwarder/dialer.go
+++ b/internal/forwarder/dialer.go
@@ -3,16 +3,18 @@
 import (
 	"context"
 	"net"
+
+	"github.com/buckthorngap/buckthorngap/internal/connector"
 )
 
 // dialer opens connections whose writes are counted.
 type dialer struct {
-	dialer *net.Dialer
+	connector *connector.Connector
 }
 
 // dial connects to an address and wraps the connection in a conn.
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	plain, err := d.dialer.DialContext(ctx, network, address)
+	plain, err := d.connector.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forwarder/transport.go
+++ b/internal/forwarder/transport.go
@@ -19,7 +19,7 @@
 // count their writes and whose answers are whole.
 func newTransport(config Config) *verifier.Transport {
 	d := &dialer{
-		dialer: connector.New(config.DialTimeout),
+		connector: connector.New(config.DialTimeout),
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/connector"
 	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
@@ -57,6 +58,7 @@
 func NewClient() *http.Client {
 	return &http.Client{
 		Transport: verifier.New(&http.Transport{
+			DialContext:       connector.New(0).DialContext,
 			DisableKeepAlives: true,
 		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/buckthorngap/buckthorngap/internal/connector"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/tracker"
 	"github.com/buckthorngap/buckthorngap/internal/verifier"
@@ -63,6 +64,7 @@
 	if c.Client == nil {
 		c.Client = &http.Client{
 			Transport: verifier.New(&http.Transport{
+				DialContext:         connector.New(0).DialContext,
 				MaxIdleConnsPerHost: 2,
 			}),
 		}
