Bound the grace for missing upstreams by when the store was last unreachable

Cause: an instance that could not reach the store keeps upstreams whose entries are missing listed for 2.5 s from the moment at which it notices the recovery. It may notice late: a call that hangs since the cut fails 0.7 s after it, a read through it by 1.1 s. An upstream that has left meanwhile then gets requests later than stable_ms after the cut, in which the instance is bound again.

Change: the follower tells with a recovery when the store was still unreachable (the second half of the last call that failed, as TCP doubles its pauses), and the lister ends the grace stable_ms less 0.1 s after that at the latest. After an outage of the store, entries have 1.75 s or more after its return.

Ruled out: a shorter grace for all (entries take about two seconds to come back), and asking peers whether they lost the store (no new gossip).

--- a/internal/app/registry.go
+++ b/internal/app/registry.go
@@ -18,4 +18,6 @@
 	// ReregisterGrace is how long upstreams have to register again after an outage of the store. They stay
 	// listed meanwhile.
 	ReregisterGrace time.Duration
+	// GraceLimit is how long after a time at which the store was still unreachable they stay listed at most; zero means no limit.
+	GraceLimit time.Duration
 }
--- a/internal/app/storesync.go
+++ b/internal/app/storesync.go
@@ -36,6 +36,7 @@
 		Decode:          f.config.Upstreams.Decode,
 		ReregisterGrace: f.config.Upstreams.ReregisterGrace,
 		Changed:         f.observeCold,
+		GraceLimit:      f.config.Upstreams.GraceLimit,
 		Now:             f.now,
 		Log:             f.log,
 	})
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -52,6 +52,8 @@
 	hashes map[string]uint64
 	// failures counts the failures since the store last answered.
 	failures int
+	// unreachableAt is a time at which the store was unreachable, according to the last read that failed.
+	unreachableAt time.Time
 	// answered is when the store last answered.
 	answered time.Time
 	// fromPeers is set if other instances have passed on updates since the store last answered.
@@ -115,7 +117,8 @@
 // or by waiting there for changes.
 func (f *Follower) step(ctx context.Context) error {
 	if relayed, ok := f.config.FetchRelayed(ctx, f.revision, !f.hasState); ok {
-		f.applyRelayed(relayed, f.recovered())
+		f.markRecovered(&relayed.Update)
+		f.applyRelayed(relayed)
 		return nil
 	}
 	r := &read{
@@ -194,13 +197,15 @@
 		}).Info("store.relayed")
 	}
 	f.confirmed = relayed.AsOf
-	f.applyRelayed(relayed, false)
+	f.applyRelayed(relayed)
 }
 
 // applyRead applies the result of a read. An answer that is older than what other instances have passed on meanwhile
 // counts as an update without changes.
 func (f *Follower) applyRead(r *read) error {
 	if r.err != nil {
+		// TCP doubles the pauses between its attempts, so that the last one was made in the second half of the call.
+		f.unreachableAt = r.requested.Add(f.config.Now().Sub(r.requested) / 2)
 		return r.err
 	}
 	update := Update{
@@ -224,29 +229,30 @@
 		f.revision = update.Revision // the store may have gone back
 	}
 	f.hasState = true
-	update.Recovered = f.recovered()
+	f.markRecovered(&update)
 	f.deliver(asOf, update)
 	return nil
 }
 
 // applyRelayed applies an update from another instance. One that is older than this instance's
-// state counts as an update without changes. Recovered is set if the store had failed before.
-func (f *Follower) applyRelayed(relayed Relayed, recovered bool) {
+// state counts as an update without changes.
+func (f *Follower) applyRelayed(relayed Relayed) {
 	update := relayed.Update
 	if update.Revision < f.revision || update.Revision.Era() > f.revision.Era() && !update.Complete {
 		update = Update{
-			Revision: f.revision,
+			Revision:      f.revision,
+			Recovered:     update.Recovered,
+			UnreachableAt: update.UnreachableAt,
 		}
 	}
 	f.markRestored(&update)
 	f.hasState = f.hasState || update.Complete
-	update.Recovered = recovered || update.Recovered
 	f.deliver(relayed.AsOf, update)
 }
 
-// recovered records that the store answered, and reports whether it had failed before. One that turned this instance away but
-// served others, which passed on what they read, has not: what was deleted meanwhile has not lapsed because of it.
-func (f *Follower) recovered() bool {
+// markRecovered records that the store answered, and marks the update if it had failed before. One that turned this instance away
+// but served others, which passed on what they read, has not: what was deleted meanwhile has not lapsed because of it.
+func (f *Follower) markRecovered(update *Update) {
 	failures := f.failures
 	lost := f.sinceAnswer()
 	served := f.fromPeers && f.config.Now().Sub(f.confirmed) <= maxGap
@@ -254,7 +260,11 @@
 	f.answered = f.config.Now()
 	f.fromPeers = false
 	if failures == 0 {
-		return false
+		return
+	}
+	if !served {
+		update.Recovered = true
+		update.UnreachableAt = f.unreachableAt
 	}
 	f.config.Log.WithFields(logrus.Fields{
 		"prefix":   f.config.Prefix,
@@ -263,7 +273,6 @@
 		"after":    lost,
 		"served":   served,
 	}).Info("store.regained")
-	return !served
 }
 
 // sinceAnswer returns the time since the store last answered, or zero if it never did.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -115,7 +115,12 @@
 func TestRecoveryOfTheStoreIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		unavailable := func() (storer.Changes, error) { return storer.Changes{}, &storer.Unavailable{} }
+		var failedAt time.Time
+		unavailable := func() (storer.Changes, error) {
+			time.Sleep(400 * time.Millisecond)
+			failedAt = time.Now()
+			return storer.Changes{}, &storer.Unavailable{}
+		}
 		s := &scriptedStore{
 			watches: []func() (storer.Changes, error){changed("a", 1), unavailable, unavailable, changed("b", 2)},
 		}
@@ -123,6 +128,7 @@
 		is.Equal(len(updates), 3)
 		is.True(!updates[1].Recovered)
 		is.True(updates[2].Recovered)
+		is.Equal(updates[2].UnreachableAt, failedAt.Add(-200*time.Millisecond))
 		is.Equal(s.afters[3], storer.Revision(1)) // it continues after the last revision that it read
 	})
 }
--- a/internal/follower/update.go
+++ b/internal/follower/update.go
@@ -1,6 +1,10 @@
 package follower
 
-import "github.com/buckthorngap/buckthorngap/pkg/storer"
+import (
+	"time"
+
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
+)
 
 // Update is one update of the followed entries.
 type Update struct {
@@ -16,6 +20,8 @@
 	Revision storer.Revision
 	// Recovered is set if the store answered again after failures, unless it has served other instances all the while.
 	Recovered bool
+	// UnreachableAt is a time at which the store was still unreachable before it recovered; zero if that is not known.
+	UnreachableAt time.Time
 	// Restored is set if the store was restored from a copy since the last update. Entries, which are complete then, may be
 	// older than those of earlier updates.
 	Restored bool
--- a/internal/lister/config.go
+++ b/internal/lister/config.go
@@ -18,6 +18,9 @@
 	// ReregisterGrace is how long upstreams whose entries lapsed while the store was unreachable
 	// have to register again after its recovery. They stay listed meanwhile.
 	ReregisterGrace time.Duration
+	// GraceLimit is how long after a time at which the store was still unreachable they stay listed at most, however late its
+	// recovery was noticed; zero means no limit.
+	GraceLimit time.Duration
 	// Changed is called with the name of each upstream that changed; it must not block.
 	Changed func(upstream string)
 	// Now is the clock; nil means time.Now.
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -63,7 +63,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if update.Recovered || update.Restored {
-		l.graceEnd = now.Add(l.config.ReregisterGrace)
+		l.graceEnd = l.endOfGrace(now, update.UnreachableAt)
 	}
 	var changed []string
 	present := make(map[string]bool, len(update.Entries))
@@ -81,6 +81,15 @@
 	return append(changed, l.dropAbsent(now, update, present)...)
 }
 
+// endOfGrace returns the time until which upstreams that are missing stay listed after a recovery of the store.
+func (l *Lister) endOfGrace(now, unreachableAt time.Time) time.Time {
+	end := now.Add(l.config.ReregisterGrace)
+	if limit := unreachableAt.Add(l.config.GraceLimit); l.config.GraceLimit > 0 && !unreachableAt.IsZero() && limit.Before(end) {
+		return limit
+	}
+	return end
+}
+
 // dropAbsent removes the upstreams whose entries an update deletes or, if it is complete, lacks, and returns their names.
 func (l *Lister) dropAbsent(now time.Time, update follower.Update, present map[string]bool) []string {
 	names := make([]string, 0, len(update.Deleted))
--- a/internal/lister/lister_test.go
+++ b/internal/lister/lister_test.go
@@ -36,6 +36,7 @@
 	f.Lister = lister.New(lister.Config{
 		Prefix:          "up/",
 		ReregisterGrace: 2 * time.Second,
+		GraceLimit:      2500 * time.Millisecond,
 		Now:             func() time.Time { return f.now },
 		Log:             log,
 		Decode: func(entry storer.Entry) (lister.Row, error) {
@@ -164,6 +165,27 @@
 	is.Equal(f.names(), []string{"a"}) // b did not register again
 }
 
+// TestUpstreamsThatLeftAreDroppedHoweverLateARecoveryIsNoticed guards against an instance that was cut off itself, notices late
+// that the cut has ended, and goes on using upstreams that have gone.
+func TestUpstreamsThatLeftAreDroppedHoweverLateARecoveryIsNoticed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Apply(follower.Update{
+		Entries: []storer.Entry{entry("a", "", 1)},
+	})
+	unreachableAt := f.now
+	f.now = f.now.Add(1500 * time.Millisecond)
+	f.Apply(follower.Update{
+		Deleted:       []string{"up/a"},
+		Recovered:     true,
+		UnreachableAt: unreachableAt,
+	})
+	f.now = f.now.Add(900 * time.Millisecond)
+	is.Equal(f.names(), []string{"a"})
+	f.now = f.now.Add(100 * time.Millisecond)
+	is.Equal(f.names(), []string{})
+}
+
 // TestRenewalUpdatesOnlyTheRevision guards against a rewritten, unchanged entry that keeps its old
 // revision or changes the upstream, and against one of an unknown upstream that adds it.
 func TestRenewalUpdatesOnlyTheRevision(t *testing.T) {
