Handle signals from the first line on, and until the end

Cause: SIGHUP was handled only once the authority had been read from the store, so that it ended an instance that waited for it, and no longer once the shutdown had begun, so that it ended one that let its requests finish. SIGTERM was handled once the command line had been parsed.

Change: the signals are received by a package of few imports, from its initialization on and for good; one that arrives during the start is kept and handled after it. What remains is the time until the runtime has initialized that package.

Same shape: the product's own program handles SIGTERM only after parsing, and has no SIGHUP; not changed.

--- a/cmd/front/main.go
+++ b/cmd/front/main.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/buckthorngap/buckthorngap/internal/invoker"
+	"github.com/buckthorngap/buckthorngap/internal/signaler"
 	"github.com/buckthorngap/buckthorngap/platform"
 )
 
@@ -18,8 +19,9 @@
 		Invocation:  invocation,
 		Application: application,
 		Commands: map[string]invoker.Command{
-			"": func(ctx context.Context) error { return platform.Run(ctx, invocation.Output) },
+			"": func(ctx context.Context) error { return platform.Run(ctx, invocation.Output, signaler.Reloads()) },
 		},
-		Label: "front: ",
+		Terminations: signaler.Terminations(),
+		Label:        "front: ",
 	}).Run())
 }
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -34,6 +35,8 @@
 	// Commands maps full command names to commands; a program without commands has
 	// one entry with an empty name.
 	Commands map[string]Command
+	// Terminations receives a SIGINT or SIGTERM that arrived before Run; nil means that the process did not listen sooner.
+	Terminations <-chan os.Signal
 	// Label is prepended to each error message; may be empty.
 	Label string
 }
@@ -60,6 +63,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	select {
+	case <-i.config.Terminations:
+		stop()
+	default:
+	}
 	if err := i.config.Commands[name](ctx); err != nil {
 		i.printError(err)
 		return ExitFailed
