Forward odd targets byte for byte or refuse them

Cause: the forwarder gave the caller's target to net/url as an opaque part, and that is written as an absolute address if it begins with two slashes. The upstream got another path and, of the caller's choice, another host. Besides, net/http answered OPTIONS * itself.

Change: a target with two leading slashes is sent as a raw path, and any target only if what net/http will write is the target; others are refused with 400 as soon as the request has been read. CONNECT and OPTIONS * are refused, as the absolute form was already.

Ruled out: escaping by net/url (changes paths), and a writer of our own. Same shape: calls of the product's own protocol travel by URL.Path and RawPath, which keep two slashes, but escape characters that ought to be escaped and lose an empty query; its mux redirects paths with dot segments and double slashes. The users' wire has neither, not changed. Paths that the product builds from identities have none of the caller's slashes.

The test's fixture serves through Server.Serve in place of httptest, so that the settings of the real HTTP server hold in it.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -64,8 +64,13 @@
 		RawQuery: m.query,
 	}
 	if m.target != "" {
-		target.Opaque = m.target
-		target.RawQuery = ""
+		exact, ok := targetURL(target.Host, m.target)
+		if !ok {
+			return nil, &UnsupportedTarget{
+				Target: m.target,
+			}
+		}
+		target = exact
 	}
 	if m.host == "" {
 		m.host = target.Host
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -49,6 +49,17 @@
 // Unwrap returns the error of the write.
 func (e *CallerGone) Unwrap() error { return e.Cause }
 
+// UnsupportedTarget reports a target that cannot be sent unchanged.
+type UnsupportedTarget struct {
+	// Target is the path and query.
+	Target string
+}
+
+// Error implements error.
+func (e *UnsupportedTarget) Error() string {
+	return "target " + strconv.Quote(e.Target) + " cannot be sent unchanged"
+}
+
 // callerGone returns the failure of an answer that could not be written to the caller.
 func callerGone(err error) *failure {
 	return &failure{
--- a/internal/forwarder/routedrequest.go
+++ b/internal/forwarder/routedrequest.go
@@ -17,7 +17,7 @@
 	Identity string
 	// Method is the HTTP method.
 	Method string
-	// Target is the path and query exactly as received.
+	// Target is the path and query exactly as received. It must be Forwardable.
 	Target string
 	// Host is the host from the caller's request.
 	Host string
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -47,8 +47,8 @@
 		e := request.(*exchange)
 		path, _, _ := strings.Cut(e.request.RequestURI, "?")
 		e.logReceived(path)
-		if !strings.HasPrefix(path, "/") {
-			return nil, newRefusal(refuser.CodeBadRequest, "the target must be a path")
+		if refusal := refuseTarget(e.request); refusal != nil {
+			return nil, refusal
 		}
 		route, ok := s.config.Snapshot().RouteFor(hostName(e.request), path)
 		e.route = route
@@ -83,6 +83,19 @@
 	}
 }
 
+// refuseTarget refuses a request whose target is no path, such as an absolute address or "*", or cannot be sent on unchanged.
+func refuseTarget(r *http.Request) *refuser.Refusal {
+	switch {
+	case r.Method == http.MethodConnect:
+		return newRefusal(refuser.CodeBadRequest, "the method CONNECT is not served")
+	case !strings.HasPrefix(r.RequestURI, "/"):
+		return newRefusal(refuser.CodeBadRequest, "the target must be a path")
+	case !forwarder.Forwardable(r.RequestURI):
+		return newRefusal(refuser.CodeBadRequest, "the target has characters that must be escaped")
+	}
+	return nil
+}
+
 // hostName returns the host of a request, without port and in lower case.
 func hostName(r *http.Request) string {
 	host := r.Host
--- a/internal/server/routed_test.go
+++ b/internal/server/routed_test.go
@@ -44,7 +44,7 @@
 }
 
 // newRoutedFixture starts the server and its upstream; answer is the upstream's handler.
-func newRoutedFixture(t *testing.T, config server.Config, answer http.HandlerFunc) *routedFixture {
+func newRoutedFixture(t testing.TB, config server.Config, answer http.HandlerFunc) *routedFixture {
 	t.Helper()
 	f := &routedFixture{}
 	f.snapshot = f.configuration(t)
@@ -95,9 +95,14 @@
 	config.Forwarder = forwarder.New(forwarder.Config{
 		Retry: func() bool { return true },
 	})
-	front := httptest.NewServer(server.New(config))
-	t.Cleanup(front.Close)
-	f.url = front.URL
+	front := server.New(config)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go front.Serve(listener)
+	t.Cleanup(func() { front.Close() })
+	f.url = "http://" + listener.Addr().String()
 	return f
 }
 
--- a/internal/server/routedconfiguration_test.go
+++ b/internal/server/routedconfiguration_test.go
@@ -8,7 +8,7 @@
 )
 
 // configuration returns the configuration of a routed fixture.
-func (f *routedFixture) configuration(t *testing.T) *configurator.Snapshot {
+func (f *routedFixture) configuration(t testing.TB) *configurator.Snapshot {
 	t.Helper()
 	route := func(name string) configurator.Route {
 		return configurator.Route{
@@ -31,6 +31,8 @@
 	once.Once = true
 	open.Open = true
 	short.Timeout = 100 * time.Millisecond
+	root := route("root")
+	root.Host, root.Prefix, root.Open = "root.example", "/", true
 	prompt := route("prompt")
 	prompt.Open = true
 	prompt.Targets[0].Service = "engines"
@@ -83,7 +85,7 @@
 				Checkpoint: "ledger",
 			},
 		},
-		Routes: []configurator.Route{once, open, short, brisk, hasty, prompt, split},
+		Routes: []configurator.Route{once, open, short, brisk, hasty, prompt, split, root},
 		Keys: []configurator.Key{
 			{
 				Name: "k",
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -196,7 +196,9 @@
 		MaxHeaderBytes: 2 * s.config.MaxHeaderBytes,
 		IdleTimeout:    idleTimeout,
 		ConnState:      acceptor.ObserveState,
-		ErrorLog:       s.errorLog(),
+		// net/http would answer "OPTIONS *" itself, with a success that no upstream gave.
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     s.errorLog(),
 	}
 	return s
 }
