Take the key of a routed request from its own field only

Cause: a field Authorization authenticated a request before X-Api-Key, and each field that contained one of both values was dropped, with a key of one character also Request-Id and Token-Count.

Change: the header format names the field that alone carries the key; the platform's is X-Api-Key, so that Authorization is a field like others. Keys of less than four bytes are not searched for in other values, which contain them by chance. A longer key in another field is dropped with it as before (it must not reach an upstream). The product's own protocol takes both fields as before.

The test failed before (401 for the field Authorization with another value; fields dropped with the key 1).

--- a/internal/forwarder/stripper.go
+++ b/internal/forwarder/stripper.go
@@ -101,10 +101,13 @@
 	return kept
 }
 
-// ContainsSecret reports whether a text contains one of the secrets.
+// minSecretBytes is the size of the shortest secret that is searched for, in bytes. Texts contain shorter ones by chance.
+const minSecretBytes = 4
+
+// ContainsSecret reports whether a text contains one of the secrets of at least four bytes.
 func ContainsSecret(secrets []string, text string) bool {
 	return slices.ContainsFunc(secrets, func(secret string) bool {
-		return secret != "" && strings.Contains(text, secret)
+		return len(secret) >= minSecretBytes && strings.Contains(text, secret)
 	})
 }
 
@@ -112,6 +115,6 @@
 // canonical form in transit.
 func containsFold(secrets []string, name string) bool {
 	return slices.ContainsFunc(secrets, func(secret string) bool {
-		return secret != "" && strings.Contains(strings.ToLower(name), strings.ToLower(secret))
+		return len(secret) >= minSecretBytes && strings.Contains(strings.ToLower(name), strings.ToLower(secret))
 	})
 }
--- a/internal/server/authenticator.go
+++ b/internal/server/authenticator.go
@@ -17,9 +17,12 @@
 	maxSecretBytes = 512
 )
 
-// credentials returns every secret in the request's header. The first one authenticates the request; the others are
+// credentials returns every secret in a request's header. The first one authenticates the request; the others are
 // collected so that they can be kept out of logs and of requests to upstreams.
-func credentials(r *http.Request) []string {
+func (f HeaderFormat) credentials(r *http.Request) []string {
+	if f.Key != "" {
+		return r.Header[f.Key]
+	}
 	var secrets []string
 	for _, value := range r.Header["Authorization"] {
 		if len(value) > len(bearerPrefix) && strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -110,7 +110,7 @@
 	}
 	e.class = queuer.Interactive
 	_ = e.control.SetReadDeadline(e.started.Add(s.config.ReadTimeout))
-	e.secrets = credentials(r)
+	e.secrets = s.config.HeaderFormat.credentials(r)
 	e.id = requestID(r.Header.Get(s.config.HeaderFormat.Identity), e.secrets)
 	w.Header().Set(s.config.HeaderFormat.Identity, e.id)
 	ctx, abort := context.WithCancelCause(r.Context())
--- a/internal/server/headerformat.go
+++ b/internal/server/headerformat.go
@@ -13,6 +13,8 @@
 type HeaderFormat struct {
 	// Identity is the name of the field with the request's identity, in requests and responses.
 	Identity string
+	// Key is the canonical name of the field that alone carries the caller's key; empty means Authorization, then X-Api-Key.
+	Key string
 	// Parse parses the facts of a request that arrived at now. The texts of its errors are sent to the caller.
 	Parse func(header http.Header, now time.Time) (Facts, error)
 	// RetryAfter formats the Retry-After value of a refused request.
--- a/internal/server/routed_test.go
+++ b/internal/server/routed_test.go
@@ -336,3 +336,39 @@
 	is.True(response.Header.Get("Retry-After") != "")
 	is.NoErr(<-drained)
 }
+
+// TestOnlyTheKeysFieldIsACredential guards against a request that another field authenticates, and against fields that are dropped
+// since they contain the key by chance.
+func TestOnlyTheKeysFieldIsACredential(t *testing.T) {
+	is := is.New(t)
+	f := newRoutedFixture(t, server.Config{
+		Routed: true,
+		HeaderFormat: server.HeaderFormat{
+			Key:            "X-Api-Key",
+			ReservedFields: []string{"X-Api-Key"},
+		},
+	}, func(http.ResponseWriter, *http.Request) {})
+	for _, c := range []struct {
+		key, authorization string
+		status             int
+		forwarded          string
+	}{
+		{key: secret, authorization: "Bearer other", status: http.StatusOK, forwarded: "Bearer other"},
+		{key: shortSecret, authorization: "Basic 11", status: http.StatusOK, forwarded: "Basic 11"},
+		{key: secret, authorization: "Bearer " + secret, status: http.StatusOK},
+		{key: "unknown", authorization: "Bearer " + secret, status: http.StatusUnauthorized},
+	} {
+		f.requests = nil
+		response, _ := f.send(t, http.MethodGet, "/once/", "", "X-Api-Key", c.key, "Authorization", c.authorization, "X-Tokens", "1460,80", "X-Request-Id", "r-1")
+		is.Equal(response.StatusCode, c.status)
+		if c.status != http.StatusOK {
+			is.Equal(len(f.requests), 0)
+			continue
+		}
+		header := f.requests[0].Header
+		is.Equal(header.Get("Authorization"), c.forwarded)
+		is.Equal(header.Get("X-Tokens"), "1460,80")
+		is.Equal(header.Get("X-Request-Id"), "r-1")
+		is.Equal(header.Values("X-Api-Key"), nil)
+	}
+}
--- a/internal/server/routedconfiguration_test.go
+++ b/internal/server/routedconfiguration_test.go
@@ -8,6 +8,9 @@
 )
 
 // configuration returns the configuration of a routed fixture.
+// shortSecret is a key that other fields contain by chance.
+const shortSecret = "1"
+
 func (f *routedFixture) configuration(t testing.TB) *configurator.Snapshot {
 	t.Helper()
 	route := func(name string) configurator.Route {
@@ -92,6 +95,11 @@
 				Team: "crates",
 				Hash: hash(secret),
 			},
+			{
+				Name: "short",
+				Team: "crates",
+				Hash: hash(shortSecret),
+			},
 		},
 	}.Snapshot()
 	if err != nil {
