Take a recovery that others pass on for one from the same outage

Change: a recovery from others within 5 s of this instance's own last failure counts as one from the same outage. Instances that never read the store themselves have the grace of before, as nothing tells them more.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -29,6 +29,8 @@
 	// overdue is how long a call to the store may take before other instances are asked. A watch without changes is
 	// answered after half a second.
 	overdue = 800 * time.Millisecond
+	// recentFailure is how long after its last failure this instance takes a recovery of others for one from the same outage.
+	recentFailure = 5 * time.Second
 	// peerInterval is the time between two queries of other instances while the store does not answer.
 	peerInterval = 400 * time.Millisecond
 	// maxGap is how long ago the store may have answered other instances for it to count as serving all the while. It covers
@@ -245,6 +247,9 @@
 			UnreachableAt: update.UnreachableAt,
 		}
 	}
+	if update.Recovered && update.UnreachableAt.IsZero() && f.config.Now().Sub(f.unreachableAt) < recentFailure {
+		update.UnreachableAt = f.unreachableAt // other instances do not tell; they recovered from the same outage
+	}
 	f.markRestored(&update)
 	f.hasState = f.hasState || update.Complete
 	f.deliver(relayed.AsOf, update)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorngap/buckthorngap/internal/follower"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -133,6 +134,51 @@
 	})
 }
 
+// TestRecoveryOfAnotherInstanceIsFromTheSameOutage guards against a recovery that another instance passes on after this one's own and
+// that counts as a new one.
+func TestRecoveryOfAnotherInstanceIsFromTheSameOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var failedAt time.Time
+		const hang = 1200 * time.Millisecond
+		s := &scriptedStore{
+			watches: []func() (storer.Changes, error){func() (storer.Changes, error) {
+				time.Sleep(hang)
+				failedAt = time.Now()
+				return storer.Changes{}, &storer.Unavailable{}
+			}, changed("a", 1)},
+		}
+		var recoveries []follower.Update
+		f := follower.New(follower.Config{
+			Store: s.store(),
+			FetchFromPeers: func(ctx context.Context, _ storer.Revision, _ bool) (follower.Relayed, bool) {
+				if !waiter.Pause(ctx, hang) {
+					return follower.Relayed{}, false
+				}
+				return follower.Relayed{
+					Update: follower.Update{
+						Revision:  2,
+						Recovered: true,
+					},
+				}, true
+			},
+			Apply: func(update follower.Update) {
+				if update.Recovered {
+					recoveries = append(recoveries, update)
+				}
+			},
+			Log: quiet(),
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*hang)
+		defer cancel()
+		_ = f.Run(ctx)
+		is.Equal(len(recoveries), 2) // its own, and that of the other instance
+		for _, update := range recoveries {
+			is.Equal(update.UnreachableAt, failedAt.Add(-hang/2))
+		}
+	})
+}
+
 // TestPauseBoundsTheWatches guards against a watch per change when entries change quickly.
 func TestPauseBoundsTheWatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
