--- a/internal/forwarder/answermetadata.go
+++ b/internal/forwarder/answermetadata.go
@@ -1,5 +1,7 @@
 package forwarder
 
+import "github.com/buckthorngap/buckthorngap/internal/router"
+
 // AnswerMetadata is the metadata that an upstream sends in the header of an answer.
 type AnswerMetadata struct {
 	// RequestID is the identity of the answered request; empty if not stated.
@@ -9,12 +11,10 @@
 	// Receipt is set if the answer carries its receipt, the field that the upstream adds to each of its
 	// answers.
 	Receipt bool
-	// HasLoad is set if the answer states Busy and Slots.
+	// HasLoad is set if the answer states Load.
 	HasLoad bool
-	// Busy is the number of requests that run or wait at the upstream.
-	Busy int
-	// Slots is the number of requests that the upstream runs concurrently.
-	Slots int
+	// Load is the upstream's load.
+	Load router.Load
 	// Leaving is set if the upstream states that it leaves and wants no more requests.
 	Leaving bool
 	// RateLimited is set if the answer states RateLimit.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -114,7 +114,7 @@
 func (f *Forwarder) observe(choice *router.Choice, a *attempt, sent time.Time, response *http.Response) {
 	a.answer = f.config.Dialect.ReadAnswer(response.Header)
 	if a.answer.HasLoad {
-		choice.Observe(a.answer.Busy, a.answer.Slots)
+		choice.Observe(a.answer.Load)
 	}
 	if a.answer.Leaving {
 		choice.ObserveLeaving()
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -37,10 +37,9 @@
 	released atomic.Bool
 }
 
-// Observe records the load that an upstream reported in an answer: its running
-// and waiting requests, and its slots unless they are zero.
-func (c *Choice) Observe(busy, slots int) {
-	c.target.observe(c.router.config.Now(), busy, slots)
+// Observe records the load that an upstream stated in an answer.
+func (c *Choice) Observe(load Load) {
+	c.target.observe(c.router.config.Now(), load)
 }
 
 // CountSent counts a request that is sent to the upstream; repeated is set for a retry.
--- /dev/null
+++ b/internal/router/load.go
@@ -0,0 +1,13 @@
+package router
+
+// Load is the load that an upstream states in an answer.
+type Load struct {
+	// Running is the number of requests that run.
+	Running int
+	// Waiting is the number of requests that wait for a slot.
+	Waiting int
+	// Slots is the number of requests that run concurrently; zero if not known.
+	Slots int
+	// Pace is how long work takes now, as a multiple of the usual time; zero if not stated.
+	Pace float64
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -46,6 +46,8 @@
 	otherRequests int
 	// observedAt is when an answer last stated the load; zero if none did or the load has expired.
 	observedAt time.Time
+	// stated is the load as the last answer that held one stated it, at observedAt.
+	stated Load
 	// tokens is the memory that this instance's own requests occupy, in tokens.
 	tokens int64
 	// running is the number of this instance's own requests.
@@ -179,14 +181,15 @@
 }
 
 // observe records the load that the upstream stated in an answer.
-func (u *upstream) observe(now time.Time, busy, slots int) {
+func (u *upstream) observe(now time.Time, load Load) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if slots > 0 {
-		u.capacity = slots
+	if load.Slots > 0 {
+		u.capacity = load.Slots
 	}
-	u.otherRequests = max(0, busy-u.running)
+	u.otherRequests = max(0, load.Running+load.Waiting-u.running)
 	u.observedAt = now
+	u.stated = load
 }
 
 // expireObservation resets the load of other instances if it was stated in an answer longer than
