Spread requests by expected times where upstreams state their pace

Instances know an upstream's load only as of some time ago, and all choose at the same moment. Prompts went to the engine with the lowest cost, by which all instances agree on one, and a slow engine counted like a fast one.

Where the upstreams of a service state their pace, a request now goes to the upstream at which it is expected to be done first: pace, requests and prompt tokens ahead, tokens to read, domain, adapter. Statements give way to the mean with age. A prompt leaves its home with the probability that moves only what is too much there; otherwise the upstream is drawn by its part of the room that the requests of all instances fill meanwhile. Engines whose memory would be exceeded are left out.

Services whose upstreams state no pace are chosen as before.

--- a/internal/router/load.go
+++ b/internal/balancer/load.go
@@ -1,6 +1,6 @@
-package router
+package balancer
 
-// Load is the load that an upstream states in an answer.
+// Load is the load that an upstream states.
 type Load struct {
 	// Running is the number of requests that run.
 	Running int
--- a/internal/forwarder/answermetadata.go
+++ b/internal/forwarder/answermetadata.go
@@ -1,6 +1,6 @@
 package forwarder
 
-import "github.com/buckthorngap/buckthorngap/internal/router"
+import "github.com/buckthorngap/buckthorngap/internal/balancer"
 
 // AnswerMetadata is the metadata that an upstream sends in the header of an answer.
 type AnswerMetadata struct {
@@ -14,7 +14,7 @@
 	// HasLoad is set if the answer states Load.
 	HasLoad bool
 	// Load is the upstream's load.
-	Load router.Load
+	Load balancer.Load
 	// Leaving is set if the upstream states that it leaves and wants no more requests.
 	Leaving bool
 	// RateLimited is set if the answer states RateLimit.
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/balancer"
 	"github.com/buckthorngap/buckthorngap/internal/drainer"
 	"github.com/buckthorngap/buckthorngap/internal/pacer"
 )
@@ -23,6 +24,8 @@
 	Slots int
 	// UncachedTokens is the estimated number of prompt tokens that the engine has not cached.
 	UncachedTokens int64
+	// Expected is what is believed of the upstream's load and pace, if it was chosen by them; zero otherwise.
+	Expected balancer.Estimate
 	// AdapterMissing is set if the upstream has to load the request's adapter first.
 	AdapterMissing bool
 
@@ -38,8 +41,8 @@
 }
 
 // Observe records the load that an upstream stated in an answer.
-func (c *Choice) Observe(load Load) {
-	c.target.observe(c.router.config.Now(), load)
+func (c *Choice) Observe(load balancer.Load) {
+	c.router.observe(c.target, c.router.config.Now(), load)
 }
 
 // CountSent counts a request that is sent to the upstream; repeated is set for a retry.
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/buckthorngap/buckthorngap/internal/balancer"
 )
 
 // Row describes one upstream in a state dump.
@@ -23,6 +25,10 @@
 	// Others is the number of requests that other instances have running or waiting there, by its
 	// last report or answer.
 	Others int `json:"others"`
+	// Expected is the number of requests that other instances are believed to have there by now, and Pace how long work is
+	// believed to take there, as a multiple of the usual time; both are zero unless the service's upstreams state their pace.
+	Expected float64 `json:"expected,omitempty"`
+	Pace     float64 `json:"pace,omitempty"`
 	// Slots is the number of requests that it runs concurrently.
 	Slots int `json:"slots"`
 	// Failures is the number of consecutive failures.
@@ -43,13 +49,14 @@
 	maps.Copy(all, r.removed)
 	rows := make([]Row, 0, len(all))
 	for _, name := range slices.Sorted(maps.Keys(all)) {
-		rows = append(rows, all[name].row())
+		u := all[name]
+		rows = append(rows, u.row(r.loads.of(*u.service.Load()).estimate(u, r.config.Now())))
 	}
 	return rows
 }
 
 // row returns the upstream's entry in a state dump.
-func (u *upstream) row() Row {
+func (u *upstream) row(estimate balancer.Estimate) Row {
 	leaving := u.leaving()
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -61,6 +68,8 @@
 		Evacuated: u.evacuated.Load(),
 		Running:   u.running,
 		Others:    u.otherRequests,
+		Expected:  estimate.Others,
+		Pace:      estimate.Pace,
 		Slots:     u.capacity,
 		Failures:  u.failures,
 		Cooling:   u.openUntil,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	config Config
 	budget *retryBudget
 	hints  *prefixHints
+	loads  *serviceLoads
 	// index is replaced under mu and read without it.
 	index atomic.Pointer[index]
 
@@ -36,6 +37,7 @@
 		config:    config,
 		budget:    newRetryBudget(config.RetryFraction, config.RetryCapacity),
 		hints:     newPrefixHints(),
+		loads:     newServiceLoads(),
 		upstreams: map[string]*upstream{},
 		removed:   map[string]*upstream{},
 	}
@@ -158,6 +160,9 @@
 func (r *Router) Pick(need Need) (*Choice, bool) {
 	r.addVersions(&need)
 	candidates := r.index.Load().candidates(&need)
+	if load, ok := r.pacedLoad(candidates); ok {
+		return r.chooseEven(candidates, &need, load)
+	}
 	if need.Checkpoint != "" && len(need.Parts) > 0 {
 		return r.chooseCheapest(candidates, &need)
 	}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/balancer"
 	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
@@ -46,8 +47,8 @@
 	otherRequests int
 	// observedAt is when an answer last stated the load; zero if none did or the load has expired.
 	observedAt time.Time
-	// stated is the load as the last answer that held one stated it, at observedAt.
-	stated Load
+	// estimator estimates the present load from what answers stated.
+	estimator balancer.Estimator
 	// tokens is the memory that this instance's own requests occupy, in tokens.
 	tokens int64
 	// running is the number of this instance's own requests.
@@ -149,6 +150,7 @@
 	}
 	if old.start != report.Start {
 		u.cache.clear()
+		u.estimator.Forget()
 	}
 	freed = wasFull && u.load() < u.capacity
 	u.snapshot.Store(next)
@@ -180,16 +182,21 @@
 	return ok
 }
 
-// observe records the load that the upstream stated in an answer.
-func (u *upstream) observe(now time.Time, load Load) {
+// observe records the load that the upstream stated at a time, and returns the number of its requests of other instances.
+func (u *upstream) observe(at time.Time, load balancer.Load) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	others := max(0, load.Running+load.Waiting-u.history.runningAt(at, u.running))
+	u.estimator.Observe(at, load, others)
+	if at.Before(u.observedAt) {
+		return others
+	}
 	if load.Slots > 0 {
 		u.capacity = load.Slots
 	}
-	u.otherRequests = max(0, load.Running+load.Waiting-u.running)
-	u.observedAt = now
-	u.stated = load
+	u.otherRequests = others
+	u.observedAt = at
+	return others
 }
 
 // expireObservation resets the load of other instances if it was stated in an answer longer than
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -79,16 +80,24 @@
 
 // logPlaced logs the chosen upstream and the load figures behind the choice.
 func (e *exchange) logPlaced(began time.Time) {
-	e.event("request.placed", logrus.Fields{
+	fields := logrus.Fields{
 		"upstream": e.choice.Upstream,
 		"busy":     e.choice.Busy,
 		"slots":    e.choice.Slots,
 		"unread":   e.choice.UncachedTokens,
 		"missing":  e.choice.AdapterMissing,
 		"waited":   e.elapsedSince(began),
-	})
+	}
+	if expected := e.choice.Expected; expected.Pace > 0 {
+		fields["pace"] = round(expected.Pace)
+		fields["others"] = round(expected.Others)
+	}
+	e.event("request.placed", fields)
 }
 
+// round rounds a figure for the log.
+func round(figure float64) float64 { return math.Round(100*figure) / 100 }
+
 // logNotPlaced logs why the request got no upstream: how many upstreams were unusable for each reason.
 func (e *exchange) logNotPlaced(began time.Time) {
 	if e.server.config.CountCandidates == nil {
