Let a request wait for an engine after one has refused it without running it

For requests to models, an attempt that the upstream states not to have run no longer counts against the attempts of the route. The request goes to another engine that holds the model or, if there is none, is queued again, where it is refused at once if no engine will have the model in time; its Retry-After then reaches the caller. Requests to plain services are unchanged: their 503 mostly means that the service is full.

Ruled out: a longer life of what an instance learns from a 421, as the instances that are to learn it have not seen any; an announcement by the instance that orders, which belongs to the shared evidence.

--- a/internal/forwarder/completion.go
+++ b/internal/forwarder/completion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 
@@ -80,11 +81,16 @@
 
 // checkRefusal returns the refusal of a check, with the outcome of the attempts so far.
 func checkRefusal(err error, mayHaveRun bool) *refuser.Refusal {
-	return refusal(&failure{
+	checked := refusal(&failure{
 		code:   refusalCode(err),
 		detail: err.Error(),
 		cause:  err,
 	}, mayHaveRun)
+	var cause *refuser.Refusal
+	if errors.As(err, &cause) {
+		checked.RetryAt = cause.RetryAt
+	}
+	return checked
 }
 
 // complete makes one attempt of a completion. A failure during delivery cancels the
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -19,6 +19,8 @@
 	final bool
 	// neutral is set if the failure says nothing about the upstream's health.
 	neutral bool
+	// refused is set if the upstream stated that it did not run the request.
+	refused bool
 	// notLoaded is set if the upstream has not loaded what the request needs, such as an adapter.
 	notLoaded bool
 	// unreached is set if no byte can have reached the upstream.
--- a/internal/forwarder/routedrequest.go
+++ b/internal/forwarder/routedrequest.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -40,6 +41,10 @@
 	// Reacquire acquires another slot on an upstream that refused the request without running it, for lack
 	// of an adapter; nil disables this.
 	Reacquire func(upstream string) (*router.Choice, bool)
+	// Await waits for an upstream after one stated that it did not run the request, as an engine does that unloads the model
+	// and is still listed with it, and returns a refusal if there is none in time. Such attempts do not count against
+	// MaxAttempts then; nil disables this.
+	Await func(ctx context.Context) (*router.Choice, error)
 	// ReportNotLoaded is called with an upstream that has not loaded what the request needs; may be nil.
 	ReportNotLoaded func(upstream string)
 	// ReportStream is called with the software version of the upstream before the first part of a stream is passed on; may
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -39,7 +39,8 @@
 	mayHaveRun bool
 	// tried lists the upstreams that failed and were replaced by another one.
 	tried []string
-	// sentAttempts is the number of attempts that may have sent bytes to an upstream.
+	// sentAttempts is the number of attempts that may have sent bytes to an upstream. Where RoutedRequest.Await is set, those
+	// that the upstream stated not to have run do not count.
 	sentAttempts int
 	// resent is set once chooseSame was used, which happens at most once per request.
 	resent bool
@@ -72,7 +73,7 @@
 			return nil
 		}
 		r.mayHaveRun = r.mayHaveRun || !failed.unsent
-		if !failed.unreached {
+		if !failed.unreached && !r.awaits(failed) {
 			r.sentAttempts++
 		}
 		r.logFailure(choice, failed)
@@ -80,7 +81,7 @@
 		if failed.notLoaded && r.routed.ReportNotLoaded != nil {
 			r.routed.ReportNotLoaded(choice.Upstream)
 		}
-		next, err := r.chooseNext(failed, choice)
+		next, err := r.chooseNext(ctx, failed, choice)
 		if next == nil {
 			return r.finishFailed(failed, err)
 		}
@@ -99,7 +100,7 @@
 
 // chooseNext acquires a slot for another attempt, or returns nil if there is none. It returns the
 // error of Check if the request must not be sent any more.
-func (r *routing) chooseNext(failed *failure, last *router.Choice) (*router.Choice, error) {
+func (r *routing) chooseNext(ctx context.Context, failed *failure, last *router.Choice) (*router.Choice, error) {
 	if failed.final || r.mayHaveRun && !r.routed.Repeatable {
 		return nil, nil
 	}
@@ -115,7 +116,7 @@
 	r.tried = append(r.tried, last.Upstream)
 	next, ok := r.routed.PickNext(slices.Clone(r.tried))
 	if !ok {
-		return nil, nil
+		return r.awaitNext(ctx, failed, last)
 	}
 	if !failed.unreached && !r.forwarder.config.Retry() {
 		next.Done(router.Neutral)
@@ -124,6 +125,23 @@
 	return next, nil
 }
 
+// awaits reports whether a request may wait for another upstream after a failed attempt, because that has not run.
+func (r *routing) awaits(failed *failure) bool { return failed.refused && r.routed.Await != nil }
+
+// awaitNext waits for an upstream after one stated that it did not run the request and no other can run it now.
+func (r *routing) awaitNext(ctx context.Context, failed *failure, last *router.Choice) (*router.Choice, error) {
+	if !r.awaits(failed) {
+		return nil, nil
+	}
+	if next := r.chooseSame(failed, last); next != nil {
+		return next, nil
+	}
+	if !r.forwarder.config.Retry() {
+		return nil, nil
+	}
+	return r.routed.Await(ctx)
+}
+
 // chooseSame chooses the last upstream again after it refused the request for lack of an adapter,
 // without running it. This does not count against the number of upstreams allowed, but the request
 // arrives there twice, so it takes a retry from the budget and happens at most once per request.
@@ -260,6 +278,7 @@
 			detail:    "the upstream refused the request without running it",
 			unsent:    true,
 			neutral:   true,
+			refused:   true,
 			notLoaded: status == http.StatusMisdirectedRequest,
 		}
 	case status < http.StatusMultipleChoices && !metadata.Receipt:
--- a/internal/server/enqueue.go
+++ b/internal/server/enqueue.go
@@ -19,25 +19,32 @@
 	}
 	ticket := e.ticket()
 	s.config.AddDemand(ticket)
+	return e, e.place(ctx, ticket)
+}
+
+// place waits in the queue until an upstream has room and holds a slot there; a request that cannot be served in time is
+// refused at once.
+func (e *exchange) place(ctx context.Context, ticket queuer.Ticket) error {
+	s := e.server
 	if refusal := e.refuseIfNotReady(ctx); refusal != nil {
-		return nil, refusal
+		return refusal
 	}
 	if refusal := s.refuseIfLimited(ticket); refusal != nil {
-		return nil, refusal
+		return refusal
 	}
 	began := s.config.Now()
 	placement, err := s.config.Enter(ctx, ticket)
 	if err != nil {
 		e.logNotPlaced(began)
-		return nil, e.withLimitRetry(err)
+		return e.withLimitRetry(err)
 	}
 	choice, ok := placement.(*router.Choice)
 	if !ok {
-		return nil, newRefusal(refuser.CodeNoUpstream, "no upstream has room")
+		return newRefusal(refuser.CodeNoUpstream, "no upstream has room")
 	}
 	e.choice = choice
 	e.logPlaced(began)
-	return e, e.recheck()
+	return e.recheck()
 }
 
 // ticket returns the request's entry for the queue. A routed request waits until startBy only, and is queued under its
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -85,7 +85,9 @@
 type attempts struct {
 	// unknownAttempts counts the attempts that may or may not have run.
 	unknownAttempts int
-	result          forwarder.Result
+	// awaited is how often the request was queued again because an engine had refused it without running it.
+	awaited int
+	result  forwarder.Result
 }
 
 // response holds what was sent to the caller.
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -334,6 +334,7 @@
 		Choice:          choice,
 		PickNext:        e.nextUpstream,
 		Reacquire:       func(upstream string) (*router.Choice, bool) { return e.reacquire(ctx, upstream) },
+		Await:           e.awaitFunction(),
 		ReportNotLoaded: e.markMissing,
 		ReportStream:    e.reportStream,
 		ReportBegun:     e.reportBegun,
