Test that a request waits for an engine that refused it at first

Through the server: a route with one attempt, and an engine that refuses the request without running it twice, or each time. Without the waiting, the first refusal ends it.

--- a/internal/server/routed_test.go
+++ b/internal/server/routed_test.go
@@ -67,9 +67,24 @@
 					Service: "desk",
 					Address: netip.MustParseAddrPort(upstream.Listener.Addr().String()),
 				},
+				{
+					Name:    "engine-1",
+					Role:    storer.RoleEngine,
+					Service: "engines",
+					Address: netip.MustParseAddrPort(upstream.Listener.Addr().String()),
+				},
 			}
 		},
-		Report: func(string) (reporter.Report, time.Time, bool) { return reporter.Report{}, time.Time{}, false },
+		Report: func(name string) (reporter.Report, time.Time, bool) {
+			return reporter.Report{
+				Copies: []reporter.Copy{
+					{
+						Checkpoint: "ledger",
+						State:      reporter.CopyReady,
+					},
+				},
+			}, time.Now(), name == "engine-1"
+		},
 	})
 	upstreamRouter.Refresh()
 	config.Snapshot = func() *configurator.Snapshot { return f.snapshot }
@@ -200,6 +215,25 @@
 	is.Equal(prepareCalls.Load(), int64(1))
 }
 
+// TestRequestWaitsForAnEngineThatRefusedIt checks that a request on a route with one attempt waits for its engine, which
+// refuses it at first because another instance has just ordered something of it.
+func TestRequestWaitsForAnEngineThatRefusedIt(t *testing.T) {
+	for refusals, status := range map[int64]int{0: http.StatusOK, 2: http.StatusOK, 9: http.StatusServiceUnavailable} {
+		is := is.New(t)
+		var arrived atomic.Int64
+		f := newRoutedFixture(t, server.Config{}, func(w http.ResponseWriter, _ *http.Request) {
+			if arrived.Add(1) <= refusals {
+				w.Header().Set("X-Not-Run", "true")
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		response, _ := f.send(t, http.MethodGet, "/prompt/1", "", "X-Model", "ledger")
+		is.Equal(response.StatusCode, status)
+		is.Equal(arrived.Load(), min(refusals, 3)+1)
+	}
+}
+
 func TestRouteNeedsAKeyUnlessItIsOpen(t *testing.T) {
 	is := is.New(t)
 	f := newRoutedFixture(t, server.Config{}, func(http.ResponseWriter, *http.Request) {})
