Keep the only copies of models while no demand is known

A request for a model that no engine holds has another model evicted.

Where evictions cost the same, the model with the most copies now makes way, and the engine on which the fewest only copies go. A copy does not count from the start of its removal, by this instance's own swaps and by what peers announce, for as long as list entries may still show it; all victims of a swap are announced at its start.

Ruled out: a floor for the demand of only copies, which would let a single short request wait in vain.

--- a/internal/stager/copies.go
+++ b/internal/stager/copies.go
@@ -113,8 +113,9 @@
 	}), true
 }
 
-// countCopies counts the engines that hold each model, in all failure domains.
+// countCopies counts the engines that hold each model and are not about to unload it, in all failure domains.
 func (s *Stager) countCopies() map[string]int {
+	now := s.config.Now()
 	counts := map[string]int{}
 	for _, upstream := range s.config.Upstreams() {
 		if upstream.Leaving {
@@ -122,7 +123,9 @@
 		}
 		if row, ok := s.config.Row(upstream.Name); ok {
 			for _, loaded := range row.Report.Copies {
-				counts[loaded.Checkpoint]++
+				if !s.removals.has(now, upstream.Name, loaded.Checkpoint) {
+					counts[loaded.Checkpoint]++
+				}
 			}
 		}
 	}
--- a/internal/stager/models.go
+++ b/internal/stager/models.go
@@ -68,6 +68,9 @@
 		placement:  chosen,
 		limiter:    limiter,
 	}
+	for _, victim := range chosen.victims {
+		s.recordChange(chosen.candidate.engine, victim.checkpoint, false)
+	}
 	go w.run(context.WithoutCancel(ctx))
 	return chosen.candidate.engine, until, nil
 }
--- a/internal/stager/placement.go
+++ b/internal/stager/placement.go
@@ -43,6 +43,15 @@
 	pinned bool
 }
 
+// evictBefore reports whether this copy is evicted before another one: it costs less or, if nothing is known of the demand for
+// both, as after the start, its model has more copies.
+func (r resident) evictBefore(other resident) bool {
+	if cost, otherCost := r.evictionCost(), other.evictionCost(); cost != otherCost {
+		return cost < otherCost
+	}
+	return r.copies > other.copies
+}
+
 // evictionCost returns the demand that evicting this copy displaces, in tokens a second.
 func (r resident) evictionCost() float64 {
 	if r.copies > 1 {
@@ -57,10 +66,31 @@
 	victims   []resident
 	// bytes is the accelerator memory of the model to load.
 	bytes int64
+	// only is the number of victims that are the only copy of their model.
+	only int
 	// cost is the eviction cost plus the cost of the load time, in tokens a second.
 	cost float64
 }
 
+// cheaper reports whether the placement is better than another one.
+func (p placement) cheaper(other placement) bool {
+	if p.cost != other.cost {
+		return p.cost < other.cost
+	}
+	return p.only < other.only
+}
+
+// countOnly counts the copies that are the only one of their model.
+func countOnly(copies []resident) int {
+	only := 0
+	for _, r := range copies {
+		if r.copies <= 1 {
+			only++
+		}
+	}
+	return only
+}
+
 // choosePlacement returns the cheapest engine on which to load a model of the given size in bytes
 // and demand (rate, in tokens a second). It returns false if no engine has room for the model, or
 // if the demand is less than minGain times the eviction cost.
@@ -73,14 +103,15 @@
 			continue
 		}
 		cost += loadSecondCost * c.load.Seconds()
-		if !found || cost < best.cost {
-			best = placement{
-				candidate: c,
-				victims:   victims,
-				bytes:     bytes,
-				cost:      cost,
-			}
-			found = true
+		next := placement{
+			candidate: c,
+			victims:   victims,
+			bytes:     bytes,
+			only:      countOnly(victims),
+			cost:      cost,
+		}
+		if !found || next.cheaper(best) {
+			best, found = next, true
 		}
 	}
 	return best, found
@@ -95,7 +126,7 @@
 	for free < bytes {
 		cheapest := -1
 		for i, r := range c.loaded {
-			if r.pinned || evicted[i] || cheapest >= 0 && r.evictionCost() >= c.loaded[cheapest].evictionCost() {
+			if r.pinned || evicted[i] || cheapest >= 0 && !r.evictBefore(c.loaded[cheapest]) {
 				continue
 			}
 			cheapest = i
--- a/internal/stager/placement_test.go
+++ b/internal/stager/placement_test.go
@@ -100,6 +100,32 @@
 	is.True(!ok) // no engine has so much memory
 }
 
+// TestOnlyCopiesStayWhileNoDemandIsKnown checks that a model that is the only copy is not evicted while one with more copies
+// could be, although nothing has been asked for yet.
+func TestOnlyCopiesStayWhileNoDemandIsKnown(t *testing.T) {
+	for range 20 {
+		is := is.New(t)
+		chosen, ok := choosePlacement([]candidate{
+			{
+				engine: "only",
+				loaded: []resident{newResident("a", 0, 1), newResident("b", 0, 1)},
+			},
+			{
+				engine: "both",
+				loaded: []resident{newResident("c", 0, 1), newResident("d", 0, 3), newResident("e", 0, 2)},
+			},
+			{
+				engine: "none",
+				loaded: []resident{newResident("f", 0, 1)},
+			},
+		}, 70, 1)
+		is.True(ok)
+		is.Equal(chosen.candidate.engine, "both")
+		is.Equal(len(chosen.victims), 1)
+		is.Equal(chosen.victims[0].checkpoint, "d")
+	}
+}
+
 func TestFreeMemoryAndLocalWeightsArePreferred(t *testing.T) {
 	is := is.New(t)
 	candidates := []candidate{
--- a/internal/stager/request.go
+++ b/internal/stager/request.go
@@ -144,6 +144,7 @@
 		s.config.Log.WithField("peer", from.Name).WithError(err).Warn("stage.malformed")
 	}
 	for _, change := range changes {
+		s.removals.record(s.config.Now(), change.GetEngine(), change.GetCheckpoint(), change.GetHeld())
 		s.config.SetLoaded(change.GetEngine(), change.GetCheckpoint(), "", change.GetHeld())
 	}
 }
@@ -151,6 +152,7 @@
 // recordChange reports a model that this instance has loaded or unloaded to Config.SetLoaded, and
 // announces it to the other instances.
 func (s *Stager) recordChange(engine, checkpoint string, held bool) {
+	s.removals.record(s.config.Now(), engine, checkpoint, held)
 	s.config.SetLoaded(engine, checkpoint, "", held)
 	s.demand.announce(&stagerpb.Change{
 		Engine:     engine,
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -34,6 +34,7 @@
 type Stager struct {
 	config    Config
 	demand    *demand
+	removals  *removals
 	delegator *delegator.Delegator
 
 	mu sync.Mutex
@@ -60,8 +61,9 @@
 func New(config Config) *Stager {
 	config = config.withDefaults()
 	return &Stager{
-		config: config,
-		demand: newDemand(config.Now),
+		config:   config,
+		demand:   newDemand(config.Now),
+		removals: newRemovals(),
 		delegator: delegator.New(delegator.Config{
 			Self:        config.Self,
 			Topic:       Topic,
--- a/internal/stager/swap.go
+++ b/internal/stager/swap.go
@@ -93,7 +93,6 @@
 // unload evicts the models that make room for the new one.
 func (w *swap) unload(ctx context.Context) error {
 	for _, victim := range w.placement.victims {
-		w.stager.recordChange(w.instance.Name, victim.checkpoint, false)
 		err := w.orderWithRetry(ctx, Order{
 			Unload:     true,
 			Checkpoint: victim.checkpoint,
