Take an engine that refuses a request with free slots for one without the model

After an order to unload a model an engine refuses the requests for it with 503, although it has free slots, and with 421 once the order is done.

The request goes elsewhere, waits for a load, or is refused at once with the time of the load. A refusal's own detail and time reach the caller from the second wait, too.

TestEngineThatUnloadsIsReported: full engines, engines where requests wait and services are not affected.

--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -11,3 +11,6 @@
 	// Pace is how long work takes now, as a multiple of the usual time; zero if not stated.
 	Pace float64
 }
+
+// Free reports whether the upstream has a free slot.
+func (l Load) Free() bool { return l.Waiting == 0 && l.Running < l.Slots }
--- a/internal/forwarder/await_test.go
+++ b/internal/forwarder/await_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/buckthorngap/buckthorngap/internal/balancer"
 	"github.com/buckthorngap/buckthorngap/internal/forwarder"
 	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
@@ -119,3 +120,65 @@
 		})
 	}
 }
+
+// TestEngineThatUnloadsIsReported checks that an engine that refuses a request although it has free slots counts as one without
+// the model, so that this instance sends it no more, and a full one does not.
+func TestEngineThatUnloadsIsReported(t *testing.T) {
+	for name, test := range map[string]struct {
+		load     balancer.Load
+		awaits   bool
+		reported bool
+	}{
+		"it has free slots": {
+			load: balancer.Load{
+				Running: 3,
+				Slots:   4,
+			},
+			awaits:   true,
+			reported: true,
+		},
+		"it is full": {
+			load: balancer.Load{
+				Running: 4,
+				Slots:   4,
+			},
+			awaits: true,
+		},
+		"requests wait there": {
+			load: balancer.Load{
+				Running: 3,
+				Waiting: 1,
+				Slots:   4,
+			},
+			awaits: true,
+		},
+		"it runs no models": {
+			load: balancer.Load{
+				Slots: 4,
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			dialect := forwarder.OwnDialect()
+			dialect.ReadAnswer = func(http.Header) forwarder.AnswerMetadata {
+				return forwarder.AnswerMetadata{
+					NotRun:  true,
+					HasLoad: true,
+					Load:    test.load,
+				}
+			}
+			u := newRawUpstream(t, func(int, *http.Request) string { return notRun })
+			c := newRouted()
+			reported := false
+			c.ReportNotLoaded = func(string) { reported = true }
+			if test.awaits {
+				c.Await = func(context.Context) (*router.Choice, error) { return nil, &refuser.Refusal{} }
+			}
+			_ = newHarness(forwarder.Config{
+				Dialect: dialect,
+			}, u.address()).route(t.Context(), t, c)
+			is.Equal(reported, test.reported)
+		})
+	}
+}
--- a/internal/forwarder/completion.go
+++ b/internal/forwarder/completion.go
@@ -88,7 +88,7 @@
 	}, mayHaveRun)
 	var cause *refuser.Refusal
 	if errors.As(err, &cause) {
-		checked.RetryAt = cause.RetryAt
+		checked.Detail, checked.RetryAt = cause.Detail, cause.RetryAt
 	}
 	return checked
 }
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -21,6 +21,9 @@
 	neutral bool
 	// refused is set if the upstream stated that it did not run the request.
 	refused bool
+	// unloading is set if the upstream refused the request although it has free slots, as an engine does that carries out an
+	// order for the model.
+	unloading bool
 	// notLoaded is set if the upstream has not loaded what the request needs, such as an adapter.
 	notLoaded bool
 	// unreached is set if no byte can have reached the upstream.
--- a/internal/forwarder/routedrequest.go
+++ b/internal/forwarder/routedrequest.go
@@ -45,7 +45,8 @@
 	// and is still listed with it, and returns a refusal if there is none in time. Such attempts do not count against
 	// MaxAttempts then; nil disables this.
 	Await func(ctx context.Context) (*router.Choice, error)
-	// ReportNotLoaded is called with an upstream that has not loaded what the request needs; may be nil.
+	// ReportNotLoaded is called with an upstream that has not loaded what the request needs or, if Await is set, unloads it; may
+	// be nil.
 	ReportNotLoaded func(upstream string)
 	// ReportStream is called with the software version of the upstream before the first part of a stream is passed on; may
 	// be nil.
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -78,7 +78,7 @@
 		}
 		r.logFailure(choice, failed)
 		r.reportBroken(choice, failed)
-		if failed.notLoaded && r.routed.ReportNotLoaded != nil {
+		if (failed.notLoaded || failed.unloading && r.awaits(failed)) && r.routed.ReportNotLoaded != nil {
 			r.routed.ReportNotLoaded(choice.Upstream)
 		}
 		next, err := r.chooseNext(ctx, failed, choice)
@@ -279,6 +279,7 @@
 			unsent:    true,
 			neutral:   true,
 			refused:   true,
+			unloading: status == http.StatusServiceUnavailable && metadata.HasLoad && metadata.Load.Free() && response.Header.Get("Retry-After") == "",
 			notLoaded: status == http.StatusMisdirectedRequest,
 		}
 	case status < http.StatusMultipleChoices && !metadata.Receipt:
