Test the choice by expected times for memory and pace

A prompt leaves its home once the engine's memory would be exceeded; requests without a home go to the engine that is expected to be done first, and a pace of a minute ago is no longer taken for the present one.

--- a/internal/router/even_test.go
+++ b/internal/router/even_test.go
@@ -10,7 +10,9 @@
 	"github.com/matryer/is"
 
 	"github.com/buckthorngap/buckthorngap/internal/balancer"
+	"github.com/buckthorngap/buckthorngap/internal/reporter"
 	"github.com/buckthorngap/buckthorngap/internal/router"
+	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
 const (
@@ -223,3 +225,97 @@
 		}
 	}
 }
+
+// pacedFleet returns a router in front of engines that state a pace each.
+func pacedFleet(memory int64, paces ...float64) (*fleet, *router.Router) {
+	f := newFleet(len(paces))
+	r := router.New(router.Config{
+		Domain:       "central",
+		EngineTokens: func(string) int64 { return memory },
+		Upstreams:    func() []storer.Instance { return f.rows },
+		Report: func(name string) (reporter.Report, time.Time, bool) {
+			report, ok := f.reports[name]
+			return report, f.now, ok
+		},
+		Now: func() time.Time { return f.now },
+	})
+	r.Refresh()
+	for i, pace := range paces {
+		r.ObserveLoad(f.rows[i].Name, f.now, balancer.Load{
+			Slots: 96,
+			Pace:  pace,
+		})
+	}
+	return f, r
+}
+
+// TestEnginesMemoryIsKept checks that a prompt leaves its home, although that has slots and the prompt cached, once the engine's
+// memory would be exceeded.
+func TestEnginesMemoryIsKept(t *testing.T) {
+	is := is.New(t)
+	_, r := pacedFleet(10_000, 1, 1, 1)
+	counts := map[string]int{}
+	for range 6 {
+		choice, ok := r.Pick(router.Need{
+			Checkpoint: "m-1",
+			Tokens:     4000,
+			Parts: []router.PromptPart{
+				{
+					Hash:   1,
+					Tokens: 3900,
+				},
+			},
+		})
+		is.True(ok)
+		counts[choice.Upstream]++
+	}
+	is.Equal(counts, map[string]int{"engine0": 2, "engine1": 2, "engine2": 2})
+}
+
+// TestSlowEngineGetsLess checks that requests without a home go to the engine that is expected to be done first, and that a pace
+// that was stated long ago is not taken for the present one.
+func TestSlowEngineGetsLess(t *testing.T) {
+	is := is.New(t)
+	f, r := pacedFleet(0, 4, 1)
+	pick := func() string {
+		choice, ok := r.Pick(router.Need{
+			Checkpoint: "m-1",
+			Tokens:     1000,
+		})
+		is.True(ok)
+		defer choice.Done(router.Good)
+		is.True(choice.Expected.Pace > 0)
+		return choice.Upstream
+	}
+	for range 20 {
+		is.Equal(pick(), "engine1")
+	}
+	for _, row := range r.Dump().([]router.Row) {
+		is.True(row.Pace == 4 || row.Upstream != "engine0")
+	}
+	f.now = f.now.Add(time.Minute)
+	for _, row := range r.Dump().([]router.Row) {
+		is.True(row.Pace < 3) // one statement says little of the usual pace
+	}
+}
+
+// BenchmarkPickEven measures the choice by expected times.
+func BenchmarkPickEven(b *testing.B) {
+	for _, engines := range []int{8, 180, 730} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			_, r := pacedFleet(0, make([]float64, engines)...)
+			r.ObserveLoad("engine0", time.Unix(1000, 0), balancer.Load{
+				Slots: 96,
+				Pace:  1,
+			})
+			b.ReportAllocs()
+			for b.Loop() {
+				choice, ok := r.Pick(need)
+				if !ok {
+					b.Fatal("no choice")
+				}
+				choice.Done(router.Good)
+			}
+		})
+	}
+}
