Wait for the start of a load rather than have the caller come again

A model that no engine holds is often loaded from an engine's disk in half a second. While the engine carries out another order, its holder refuses the load and tells to come again a tenth of a second later; the instance passed that on to the caller at once.

The instance now asks again itself when it is told to, until half of the route's objective has passed, as for the team's limit; after that the response would be late anyway. A load that may begin only later, or at an unknown time, is refused at once as before.

--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -270,7 +270,7 @@
 	if config.StartLoad == nil {
 		return refusal
 	}
-	at, loading := config.StartLoad(ctx, e.need)
+	at, loading := e.startLoad(ctx)
 	if loading && at.Before(e.startBy) {
 		return nil
 	}
