--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
@@ -33,6 +34,20 @@
 	cause  error
 }
 
+// refusedFailure returns the failure of an attempt that the upstream stated not to have run.
+func refusedFailure(metadata AnswerMetadata, response *http.Response) *failure {
+	busy := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == ""
+	return &failure{
+		code:      refuser.CodeNoUpstream,
+		detail:    "the upstream refused the request without running it",
+		unsent:    true,
+		neutral:   true,
+		refused:   true,
+		unloading: busy && metadata.HasLoad && metadata.Load.Free(),
+		notLoaded: response.StatusCode == http.StatusMisdirectedRequest,
+	}
+}
+
 // Error implements error.
 func (f *failure) Error() string { return string(f.code) + ": " + f.detail }
 
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -273,15 +273,7 @@
 			detail: "the upstream sent a refusal that may be that of an earlier request",
 		}
 	case metadata.NotRun || status == http.StatusMisdirectedRequest:
-		return &failure{
-			code:      refuser.CodeNoUpstream,
-			detail:    "the upstream refused the request without running it",
-			unsent:    true,
-			neutral:   true,
-			refused:   true,
-			unloading: status == http.StatusServiceUnavailable && metadata.HasLoad && metadata.Load.Free() && response.Header.Get("Retry-After") == "",
-			notLoaded: status == http.StatusMisdirectedRequest,
-		}
+		return refusedFailure(metadata, response)
 	case status < http.StatusMultipleChoices && !metadata.Receipt:
 		return &failure{
 			code:   refuser.CodeUpstreamFailed,
