--- a/internal/server/modelload.go
+++ b/internal/server/modelload.go
@@ -29,10 +29,13 @@
 // minLoadPause is the time between two attempts to start the load of a request's model.
 const minLoadPause = 25 * time.Millisecond
 
-// loadBy returns when the load of the request's model has to have begun: at half of the route's objective, after which the
-// response would be late anyway.
+// loadWaitDivisor sets how long a request waits for the start of its model's load: its route's objective divided by it. What
+// cannot be served is refused while its caller can still go elsewhere.
+const loadWaitDivisor = 8
+
+// loadBy returns when the load of the request's model has to have begun.
 func (e *exchange) loadBy() time.Time {
-	if bound := e.started.Add(e.route.Objective / 2); e.route.Objective > 0 && bound.Before(e.startBy) {
+	if bound := e.started.Add(e.route.Objective / loadWaitDivisor); e.route.Objective > 0 && bound.Before(e.startBy) {
 		return bound
 	}
 	return e.startBy
