--- a/internal/server/modelload_test.go
+++ b/internal/server/modelload_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/buckthorngap/buckthorngap/internal/router"
 	"github.com/buckthorngap/buckthorngap/internal/server"
 )
 
@@ -51,7 +52,7 @@
 			is := is.New(t)
 			var attempts atomic.Int64
 			f := newRoutedFixture(t, server.Config{
-				StartLoad: func(context.Context, string, string) (time.Time, bool) {
+				StartLoad: func(context.Context, router.Need) (time.Time, bool) {
 					switch n := attempts.Add(1); {
 					case n == test.begins:
 						return time.Now(), true
@@ -60,7 +61,7 @@
 					}
 					return time.Now().Add(test.retryIn), false
 				},
-				CountReady: func(string) int {
+				CountReady: func(router.Need) int {
 					if test.ready > 0 && attempts.Load() >= test.ready {
 						return 1
 					}
