Invoker: exit codes of errors

A command's error may have an exit code of its own, which the check of a configuration needs to tell findings from files that can't be read. All other errors exit with 1 as before.

Measured: TestExitCodes fails without the change (1 != 7) and passes with it.

--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -17,7 +18,7 @@
 const (
 	// ExitDone means that the command succeeded.
 	ExitDone = 0
-	// ExitFailed means that the command returned an error.
+	// ExitFailed means that the command returned an error without an exit code of its own.
 	ExitFailed = 1
 	// ExitUsage means that the command line could not be parsed.
 	ExitUsage = 2
@@ -70,11 +71,20 @@
 	}
 	if err := i.config.Commands[name](ctx); err != nil {
 		i.printError(err)
-		return ExitFailed
+		return exitCode(err)
 	}
 	return ExitDone
 }
 
+// exitCode returns the exit code of an error, ExitFailed unless the error has one of its own.
+func exitCode(err error) int {
+	var coded interface{ ExitCode() int }
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
+	}
+	return ExitFailed
+}
+
 // printError prints an error with the label.
 func (i *Invoker) printError(err error) {
 	_, _ = fmt.Fprintln(i.config.Invocation.Errors, i.config.Label+err.Error())
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -43,6 +43,13 @@
 	return code, errorOutput.String()
 }
 
+// coded is an error with an exit code of its own.
+type coded struct{}
+
+func (*coded) Error() string { return "coded" }
+
+func (*coded) ExitCode() int { return 7 }
+
 func TestExitCodes(t *testing.T) {
 	is := is.New(t)
 	code, output := run("work", nil)
@@ -51,6 +58,8 @@
 	code, output = run("work", errors.New("no work"))
 	is.Equal(code, invoker.ExitFailed)
 	is.Equal(output, "trial: no work\n")
+	code, _ = run("work", &coded{})
+	is.Equal(code, 7) // the error's own
 	code, output = run("rest", nil)
 	is.Equal(code, invoker.ExitUsage)
 	is.True(strings.HasPrefix(output, "trial: "))
