Check a configuration before it is sent

Both decode with the functions of the running program (DecodeConfiguration now uses DecodeArchive) and let the configurator say what it refuses; a search over its operations finds the record. internal/inspector adds what never takes effect, limits that contradict each other, and the differences.

--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/buckthorngap/buckthorngap/internal/inspector"
 	"github.com/buckthorngap/buckthorngap/internal/invoker"
 )
 
@@ -45,3 +46,21 @@
 	is.Equal(c.Run(), invoker.ExitFailed)
 	is.True(strings.Contains(errors.String(), "absent.json"))
 }
+
+func TestCheckTakesOneFile(t *testing.T) {
+	for line, want := range map[string]int{
+		"check":                               invoker.ExitUsage,
+		"check absent.json --settings other":  invoker.ExitUsage,
+		"check absent.json":                   inspector.ExitUnreadable,
+		"check absent.json --against other":   inspector.ExitUnreadable,
+		"check --settings absent.json --json": invoker.ExitFailed,
+	} {
+		is := is.New(t)
+		c := New(invoker.Invocation{
+			Arguments: strings.Fields(line),
+			Output:    &strings.Builder{},
+			Errors:    &strings.Builder{},
+		})
+		is.Equal(c.Run(), want)
+	}
+}
--- a/internal/commander/offline.go
+++ b/internal/commander/offline.go
@@ -7,8 +7,12 @@
 	"strings"
 	"time"
 
+	"github.com/alecthomas/kingpin/v2"
+
 	"github.com/buckthorngap/buckthorngap/internal/certifier"
+	"github.com/buckthorngap/buckthorngap/internal/inspector"
 	"github.com/buckthorngap/buckthorngap/internal/parser"
+	"github.com/buckthorngap/buckthorngap/pkg/configurator"
 )
 
 // certificateLifetime is the validity period of the certificates written by "certs".
@@ -16,16 +20,7 @@
 
 // addOfflineCommands adds the commands that need no running instance.
 func (c *Commander) addOfflineCommands() {
-	check := c.app.Command("check", "Validate a settings file without starting an instance.")
-	file := check.Flag("settings", "Settings file, in JSON with comments.").Required().String()
-	c.register(check, func(context.Context) error {
-		settings, err := parser.Load(*file)
-		if err != nil {
-			return err
-		}
-		_, err = fmt.Fprintf(c.invocation.Output, "settings=%s instance=%s domain=%s result=ok\n", *file, settings.Name, settings.Domain)
-		return err
-	})
+	c.addCheckCommand()
 
 	certs := c.app.Command("certs", "Write a set of certificates for development.")
 	directory := certs.Flag("directory", "Directory to write the files to.").Required().String()
@@ -36,6 +31,37 @@
 	})
 }
 
+// addCheckCommand adds the command that checks an exported configuration or a settings file.
+func (c *Commander) addCheckCommand() {
+	clause := c.app.Command("check", "Check an exported configuration, or a settings file, without an instance.")
+	settings := clause.Flag("settings", "Settings file, in JSON with comments.").String()
+	configuration := inspector.NewCommand(clause, inspector.New(inspector.Config{
+		Decode: configurator.DecodeArchive,
+	}), c.invocation.Output)
+	clause.Validate(func(*kingpin.CmdClause) error {
+		if (*settings == "") == (configuration.File() == "") {
+			return &ambiguousCheck{}
+		}
+		return nil
+	})
+	c.register(clause, func(ctx context.Context) error {
+		if *settings == "" {
+			return configuration.Run(ctx)
+		}
+		return c.checkSettings(*settings)
+	})
+}
+
+// checkSettings reads a settings file and prints a summary.
+func (c *Commander) checkSettings(file string) error {
+	settings, err := parser.Load(file)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.invocation.Output, "settings=%s instance=%s domain=%s result=ok\n", file, settings.Name, settings.Domain)
+	return err
+}
+
 // writeCertificates writes the development certificates of instances on 127.0.0.1 and of operators, and prints a summary.
 func (c *Commander) writeCertificates(directory string, instances map[string]string, operators []string) error {
 	subjects := make([]certifier.Subject, 0, len(instances))
