--- a/internal/binder/call.go
+++ b/internal/binder/call.go
@@ -13,8 +13,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/time/rate"
 
+	"github.com/buckthorngap/buckthorngap/internal/completer"
 	"github.com/buckthorngap/buckthorngap/internal/connector"
-	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/internal/waiter"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
@@ -42,7 +42,7 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return &http.Client{
-		Transport: verifier.New(&http.Transport{
+		Transport: completer.New(&http.Transport{
 			DialContext:         connector.New(0).DialContext,
 			Protocols:           &protocols,
 			MaxIdleConnsPerHost: 16,
--- a/internal/verifier/transport.go
+++ b/internal/completer/transport.go
@@ -1,4 +1,4 @@
-package verifier
+package completer
 
 import (
 	"net"
--- a/internal/verifier/transport_test.go
+++ b/internal/completer/transport_test.go
@@ -1,4 +1,4 @@
-package verifier_test
+package completer_test
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/buckthorngap/buckthorngap/internal/verifier"
+	"github.com/buckthorngap/buckthorngap/internal/completer"
 )
 
 // server answers each request on raw connections once it has read the head and a part of the body.
@@ -100,7 +100,7 @@
 		t.Run(name, func(t *testing.T) {
 			for range 20 {
 				is := is.New(t)
-				transport := verifier.New(&http.Transport{})
+				transport := completer.New(&http.Transport{})
 				s := server{
 					answer: test.answer,
 					read:   test.read,
@@ -127,8 +127,8 @@
 				answer: "HTTP/1.1 " + status + " X\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n",
 				end:    half,
 			}
-			_, err := s.send(t, verifier.New(&http.Transport{}), 0)
-			var none *verifier.NoStatus
+			_, err := s.send(t, completer.New(&http.Transport{}), 0)
+			var none *completer.NoStatus
 			is.Equal(errors.As(err, &none), odd) // MIXED
 			is.True(odd || err == nil)
 		})
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -11,9 +11,9 @@
 	"net/url"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/completer"
 	"github.com/buckthorngap/buckthorngap/internal/pacer"
 	"github.com/buckthorngap/buckthorngap/internal/router"
-	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
@@ -146,7 +146,7 @@
 // writes so far.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.reused = info.Reused
-	outer, ok := info.Conn.(*verifier.Conn)
+	outer, ok := info.Conn.(*completer.Conn)
 	if !ok {
 		return
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,15 +8,15 @@
 	"context"
 	"sync"
 
-	"github.com/buckthorngap/buckthorngap/internal/verifier"
+	"github.com/buckthorngap/buckthorngap/internal/completer"
 )
 
 // Forwarder sends requests to upstreams over one shared HTTP transport.
 type Forwarder struct {
 	config    Config
-	transport *verifier.Transport
+	transport *completer.Transport
 	// unkept opens a connection for each request.
-	unkept    *verifier.Transport
+	unkept    *completer.Transport
 	canceller *canceller
 	// echoes holds the names of upstreams that have echoed a request identity.
 	echoes sync.Map
--- a/internal/forwarder/transport.go
+++ b/internal/forwarder/transport.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/buckthorngap/buckthorngap/internal/completer"
 	"github.com/buckthorngap/buckthorngap/internal/connector"
-	"github.com/buckthorngap/buckthorngap/internal/verifier"
 )
 
 const (
@@ -17,13 +17,13 @@
 
 // newTransport returns an HTTP/1.1 transport without compression, whose connections
 // count their writes and whose answers are whole.
-func newTransport(config Config) *verifier.Transport {
+func newTransport(config Config) *completer.Transport {
 	d := &dialer{
 		connector: connector.New(config.DialTimeout),
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return verifier.New(&http.Transport{
+	return completer.New(&http.Transport{
 		DialContext:            d.dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/buckthorngap/buckthorngap/internal/completer"
 	"github.com/buckthorngap/buckthorngap/internal/connector"
-	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -57,7 +57,7 @@
 // resend a request if a kept-alive connection breaks. It does not follow redirects.
 func NewClient() *http.Client {
 	return &http.Client{
-		Transport: verifier.New(&http.Transport{
+		Transport: completer.New(&http.Transport{
 			DialContext:       connector.New(0).DialContext,
 			DisableKeepAlives: true,
 		}),
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -9,10 +9,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/buckthorngap/buckthorngap/internal/completer"
 	"github.com/buckthorngap/buckthorngap/internal/connector"
 	"github.com/buckthorngap/buckthorngap/internal/messenger"
 	"github.com/buckthorngap/buckthorngap/internal/tracker"
-	"github.com/buckthorngap/buckthorngap/internal/verifier"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -63,7 +63,7 @@
 	c.PushBytesPerSecond = cmp.Or(c.PushBytesPerSecond, DefaultPushBytesPerSecond)
 	if c.Client == nil {
 		c.Client = &http.Client{
-			Transport: verifier.New(&http.Transport{
+			Transport: completer.New(&http.Transport{
 				DialContext:         connector.New(0).DialContext,
 				MaxIdleConnsPerHost: 2,
 			}),
