--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -12,28 +12,31 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorngap/buckthorngap/internal/acceptor"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
-// serve serves requests behind an Acceptor and returns its address. A request to /wait is answered once the channel is closed.
-func serve(t *testing.T, config acceptor.Config) (address string, answer chan struct{}) {
+// serve serves requests behind an Acceptor and returns its address. A request to /wait is sent on running, and is answered once
+// the other channel is closed.
+func serve(t *testing.T, config acceptor.Config) (address string, running, answer chan struct{}) {
 	t.Helper()
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	answer = make(chan struct{})
+	running, answer = make(chan struct{}, 1), make(chan struct{})
 	config.Log = logrus.New()
 	server := &http.Server{
 		ConnState: acceptor.ObserveState,
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/wait" {
+				running <- struct{}{}
 				<-answer
 			}
 		}),
 	}
 	t.Cleanup(func() { _ = server.Close() })
 	go func() { _ = server.Serve(acceptor.New(plain, config)) }()
-	return plain.Addr().String(), answer
+	return plain.Addr().String(), running, answer
 }
 
 // send sends bytes on a new connection.
@@ -73,22 +76,24 @@
 
 func TestLargeHeadsShareTheMemory(t *testing.T) {
 	is := is.New(t)
-	address, answer := serve(t, acceptor.Config{
+	address, running, answer := serve(t, acceptor.Config{
 		HeadMemory: 100 << 10, // for one of them
 	})
 	first := send(t, address, large("/wait"))
+	<-running
 	is.Equal(status(t, send(t, address, large("/"))), busy)
 	is.Equal(status(t, send(t, address, "\r\n"+ordinary)), "HTTP/1.1 400 Bad Request") // net/http takes no empty line first
 	is.Equal(status(t, send(t, address, ordinary)), ok)                                // ordinary heads are free
 	close(answer)
 	is.Equal(status(t, first), ok)
-	is.Equal(status(t, send(t, address, large("/"))), ok) // the first request has ended
+	answered := func() bool { return status(t, send(t, address, large("/"))) == ok }
+	is.True(waiter.Poll(t.Context(), time.Millisecond, answered)) // the first request gives its memory back once it has ended
 }
 
 // TestEachHeadOfAConnectionCounts sends a small request and the beginning of a large one together.
 func TestEachHeadOfAConnectionCounts(t *testing.T) {
 	is := is.New(t)
-	address, _ := serve(t, acceptor.Config{
+	address, _, _ := serve(t, acceptor.Config{
 		HeadMemory: 1 << 10,
 	})
 	c := send(t, address, ordinary+large("/"))
@@ -100,13 +105,14 @@
 // TestIdlestConnectionMakesRoom fills all places with connections that send no request.
 func TestIdlestConnectionMakesRoom(t *testing.T) {
 	is := is.New(t)
-	address, answer := serve(t, acceptor.Config{
+	address, running, answer := serve(t, acceptor.Config{
 		MaxConnections: 2,
 	})
 	unfinished := send(t, address, "GET / HTTP/1.1\r\n")
-	running := send(t, address, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+	waiting := send(t, address, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-running
 	is.Equal(status(t, send(t, address, ordinary)), ok)
 	is.Equal(status(t, unfinished), "") // closed
 	close(answer)
-	is.Equal(status(t, running), ok)
+	is.Equal(status(t, waiting), ok)
 }
