--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// watched returns the number of watches so far.
+func (s *scriptedStore) watched() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.afters)
+}
+
 // quiet returns a logger that discards its output.
 func quiet() logrus.FieldLogger {
 	log := logrus.New()
@@ -323,7 +330,7 @@
 								Revision: revision,
 							},
 							AsOf: time.Now().Add(-test.age),
-						}, len(s.afters) < 8
+						}, s.watched() < 8
 					},
 					Apply: func(update follower.Update) {
 						if len(update.Entries) > 0 {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -68,7 +68,9 @@
 		for round := range minCrashes {
 			crashUnder(s, 2, round, []uint64{deadly})
 		}
+		s.mu.Lock()
 		s.cut["i0"] = true
+		s.mu.Unlock()
 		for number := range 5 {
 			s.start(t.Context(), 2+number)
 			s.send(2+number, []uint64{1, deadly})
