--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,6 +18,7 @@
 		"refusal": refusalCase,
 		"drain":   drainCase,
 		"memory":  memoryCase,
+		"limit":   limitCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review2 CASE FOLDER")
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -80,6 +81,8 @@
 	store   *Store
 	address string
 	record  *Record
+	// fenceless is set if engines don't check fence numbers.
+	fenceless bool
 }
 
 func newSite(record *Record) *Site {
@@ -156,6 +159,9 @@
 	f := &Front{name: fmt.Sprintf("front-%s-%d", zone, number), ip: address(number)}
 	f.settings, f.log = filepath.Join(scratch, f.name+".yaml"), filepath.Join(scratch, f.name+".log")
 	text := fmt.Sprintf(settingsFormat, f.name, f.ip, zone, f.ip, f.ip, s.address)
+	if s.fenceless {
+		text = strings.Replace(text, "checks_fence: true", "checks_fence: false", 1)
+	}
 	if err := os.WriteFile(f.settings, []byte(text), 0o600); err != nil {
 		fail(err)
 	}
