server: answer requests that wait for an engine when the instance shuts down

None of them had run.

Cause: requests that wait were refused once, at the end of the notice, from a list that held only requests queued for the first time.

Related paths: AbortWithdrawn and RefuseQuarantined skipped requests that waited again in the same way and use the same mechanism now. RefuseWaiting of the queues sees every ticket, nothing found.

--- a/internal/server/awaiting.go
+++ b/internal/server/awaiting.go
@@ -21,8 +21,12 @@
 }
 
 // awaitUpstream queues the request again after an engine refused it without running it, and holds a slot once an engine has
-// room and the adapter.
+// room and the adapter. It returns a refusal once the server is stopping.
 func (e *exchange) awaitUpstream(ctx context.Context) (*router.Choice, error) {
+	e.dispatch.requeue()
+	if e.server.refusesWaiting() {
+		return nil, e.server.stoppingRefusal()
+	}
 	ctx, cancel := context.WithDeadline(ctx, e.startBy)
 	defer cancel()
 	waiter.Pause(ctx, awaitPause<<e.awaited)
@@ -36,5 +40,6 @@
 	}
 	choice := e.choice
 	e.choice = nil
+	e.dispatch.forward()
 	return choice, nil
 }
--- a/internal/server/completionhandler.go
+++ b/internal/server/completionhandler.go
@@ -46,7 +46,7 @@
 	}
 	choice := e.choice
 	e.choice = nil
-	e.dispatch.sent.Store(true)
+	e.dispatch.forward()
 	e.result, err = e.server.config.Forwarder.Complete(ctx, &forwarder.Completion{
 		Request:      e.id,
 		Path:         e.request.URL.Path,
--- a/internal/server/dump.go
+++ b/internal/server/dump.go
@@ -43,7 +43,7 @@
 		Bodies:   s.bodyMemory.Load(),
 		Requests: []RequestRow{},
 	}
-	for _, e := range s.active.all() {
+	for _, e := range s.admitted() {
 		dump.Requests = append(dump.Requests, RequestRow{
 			Request:  e.id,
 			Team:     e.key.Team,
--- a/internal/server/enqueue.go
+++ b/internal/server/enqueue.go
@@ -13,7 +13,7 @@
 // served in time is refused at once. Before and after the wait it checks that nothing the request needs was withdrawn.
 func (s *Server) enqueue(ctx context.Context, request any) (any, error) {
 	e := request.(*exchange)
-	s.active.add(e)
+	e.admitted.Store(true)
 	if err := e.recheck(); err != nil {
 		return nil, err
 	}
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthorngap/buckthorngap/internal/claimer"
@@ -61,6 +62,8 @@
 
 	service  configurator.Service
 	dispatch dispatch
+	// admitted is set once the fields above are final and the request only needs an upstream.
+	admitted atomic.Bool
 	// routed is set if the request is forwarded by a route of the configuration.
 	routed bool
 	route  configurator.Route
@@ -102,7 +105,8 @@
 	writeDeadline   time.Time
 }
 
-// begin creates the exchange of a request, with its identity and a context that the server can cancel.
+// begin creates the exchange of a request, with its identity and a context that the server can cancel. The context has ended if
+// the server is stopping.
 func (s *Server) begin(w http.ResponseWriter, r *http.Request) *exchange {
 	e := &exchange{
 		server:  s,
@@ -119,6 +123,10 @@
 	e.abort = abort
 	e.release = func() { abort(nil) }
 	e.request = r.WithContext(ctx)
+	s.active.add(e)
+	if s.stopping.Load() {
+		e.abort(s.stoppingRefusal())
+	}
 	return e
 }
 
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -71,12 +71,9 @@
 
 // RefuseQuarantined refuses the requests that wait for an engine and must not be sent any more.
 func (s *Server) RefuseQuarantined() {
-	for _, e := range s.active.all() {
-		if e.dispatch.sent.Load() {
-			continue
-		}
+	for _, e := range s.admitted() {
 		if refusal := e.refuseIfQuarantined(); refusal != nil {
-			e.abort(refusal)
+			e.dispatch.ifWaiting(func() { e.abort(refusal) })
 		}
 	}
 }
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"slices"
 	"sync"
 
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
@@ -18,7 +19,7 @@
 	exchanges map[*exchange]struct{}
 }
 
-// registry holds the exchanges of all waiting and running requests.
+// registry holds the exchanges of all requests whose head was read and that have not ended.
 type registry struct {
 	shards [registryShards]registryShard
 }
@@ -53,7 +54,7 @@
 	delete(shard.exchanges, e)
 }
 
-// all returns the exchanges of all waiting and running requests.
+// all returns all exchanges.
 func (r *registry) all() []*exchange {
 	var exchanges []*exchange
 	for i := range r.shards {
@@ -67,33 +68,43 @@
 	return exchanges
 }
 
+// admitted returns the exchanges of all waiting and running requests.
+func (s *Server) admitted() []*exchange {
+	return slices.DeleteFunc(s.active.all(), func(e *exchange) bool { return !e.admitted.Load() })
+}
+
 // AbortWithdrawn aborts the requests whose key, or for completion requests also version or adapter, is withdrawn in the
-// configuration in force. Calls that were sent and must not run twice are left to finish; with
-// Config.FinishWithdrawn, so is every request that was sent. AbortWithdrawn must be called after each change of the
+// configuration in force. Calls that an upstream has and that must not run twice are left to finish; with
+// Config.FinishWithdrawn, so is every request that an upstream has. AbortWithdrawn must be called after each change of the
 // configuration.
 func (s *Server) AbortWithdrawn() {
 	snapshot := s.config.Snapshot()
-	for _, e := range s.active.all() {
+	for _, e := range s.admitted() {
 		refusal := e.refuseIfWithdrawn(snapshot)
-		if refusal == nil || !e.dispatch.abortable() || s.config.FinishWithdrawn && e.dispatch.sent.Load() {
-			continue
+		switch {
+		case refusal == nil:
+		case e.dispatch.atMostOnce || s.config.FinishWithdrawn:
+			e.dispatch.ifWaiting(func() { e.abort(refusal) })
+		default:
+			e.abort(refusal)
 		}
-		e.abort(refusal)
 	}
 }
 
-// refuseWaiting refuses the requests that still wait for an upstream when the instance shuts down: they have not run,
-// and the caller can send them to another instance at once.
+// refuseWaiting refuses the requests that no upstream has when the instance shuts down: the caller can send them to another
+// instance at once.
 func (s *Server) refuseWaiting() {
 	for _, e := range s.active.all() {
-		if e.dispatch.sent.Load() {
-			continue
-		}
-		refusal := newRefusal(refuser.CodeStopping, "the instance is shutting down")
-		refusal.RetryAt = s.config.Now()
-		e.abort(refusal)
+		e.dispatch.ifWaiting(func() { e.abort(s.stoppingRefusal()) })
 	}
 }
 
-// Running returns the number of waiting and running requests.
-func (s *Server) Running() int { return len(s.active.all()) }
+// refusesWaiting reports whether requests that no upstream has are refused because the instance shuts down.
+func (s *Server) refusesWaiting() bool { return s.stopping.Load() && s.config.Routed }
+
+// stoppingRefusal returns the refusal of a request for which the instance has no time left.
+func (s *Server) stoppingRefusal() *refuser.Refusal {
+	refusal := newRefusal(refuser.CodeStopping, "the instance is shutting down")
+	refusal.RetryAt = s.config.Now()
+	return refusal
+}
--- a/internal/server/retry.go
+++ b/internal/server/retry.go
@@ -30,7 +30,11 @@
 		if refusal.Outcome == refuser.Unknown {
 			e.unknownAttempts++
 		}
-		if !e.retryable(refusal) || !waiter.Pause(ctx, pause) {
+		if !e.retryable(refusal) {
+			return e.overallRefusal(refusal)
+		}
+		e.dispatch.requeue()
+		if !waiter.Pause(ctx, pause) {
 			return e.overallRefusal(refusal)
 		}
 		pause = min(2*pause, maxRetryPause)
--- a/internal/server/routed.go
+++ b/internal/server/routed.go
@@ -312,7 +312,7 @@
 	}
 	choice := e.choice
 	e.choice = nil
-	e.dispatch.sent.Store(true)
+	e.dispatch.forward()
 	server := e.server
 	var err error
 	e.result, err = server.config.Forwarder.Route(ctx, &forwarder.RoutedRequest{
--- a/internal/server/routed_test.go
+++ b/internal/server/routed_test.go
@@ -32,7 +32,12 @@
 // what was reserved.
 type routedFixture struct {
 	url      string
+	server   *server.Server
 	snapshot *configurator.Snapshot
+	// full makes requests wait in the queue until their context ends.
+	full atomic.Bool
+	// overLimit makes requests wait for their team's limit until their context ends.
+	overLimit atomic.Bool
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -96,7 +101,11 @@
 		}
 		return choice, ok
 	}
-	config.Enter = func(_ context.Context, ticket queuer.Ticket) (any, error) {
+	config.Enter = func(ctx context.Context, ticket queuer.Ticket) (any, error) {
+		if f.full.Load() {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		choice, ok := upstreamRouter.Pick(ticket.Value.(router.Need))
 		if !ok {
 			return nil, &refuser.Refusal{
@@ -111,6 +120,7 @@
 		Retry: func() bool { return true },
 	})
 	front := server.New(config)
+	f.server = front
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -127,6 +137,10 @@
 	f.reserved = append(f.reserved, request.Tokens)
 	f.ranks = append(f.ranks, request.Rank)
 	f.waitDeadline, _ = ctx.Deadline()
+	if f.overLimit.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return &limiter.Reservation{}, nil
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -172,6 +172,8 @@
 	admitRouted     endpoint.Endpoint
 	bodyMemory      atomic.Int64
 	unready         atomic.Bool
+	// stopping is set once the server drains and accepts no further requests.
+	stopping atomic.Bool
 }
 
 // New returns a Server.
@@ -237,12 +239,14 @@
 func (s *Server) Unready() { s.unready.Store(true) }
 
 // Drain shuts the server down gracefully: it reports unready, accepts requests for Config.DrainNotice more and then
-// waits for the running requests to finish until the context ends. If Config.Routed is set, requests that still wait
-// for an upstream after DrainNotice are refused. Drain returns the context's error if some requests had not finished.
+// waits for the running requests to finish until the context ends. If Config.Routed is set, requests that no upstream has
+// after DrainNotice are refused, also those that one refuses later. Drain returns the context's error if some requests had not
+// finished.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Unready()
 	waiter.Pause(ctx, s.config.DrainNotice)
-	if s.config.Routed {
+	s.stopping.Store(true)
+	if s.refusesWaiting() {
 		s.refuseWaiting()
 	}
 	return s.http.Shutdown(ctx)
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -73,7 +73,7 @@
 		if forwarder.ContainsSecret(e.secrets, string(e.body)) || forwarder.ContainsSecret(e.secrets, e.request.URL.Path) {
 			return nil, newRefusal(refuser.CodeBadRequest, "the path or the body contains the key")
 		}
-		s.active.add(e)
+		e.admitted.Store(true)
 		key := e.request.Header.Get("Idempotency-Key")
 		if len(key) > maxKeyBytes {
 			return nil, newRefusal(refuser.CodeBadRequest, "the idempotency key is too long")
@@ -124,7 +124,7 @@
 func (e *exchange) forwardCall(ctx context.Context) error {
 	choice := e.choice
 	e.choice = nil
-	e.dispatch.sent.Store(true)
+	e.dispatch.forward()
 	var err error
 	e.result, err = e.server.config.Forwarder.Serve(ctx, &forwarder.Call{
 		Request: e.id,
