forwarder: repeat a request to an upstream on a new connection

Cause: a request that an engine refuses because it is full waits and goes to the same engine again, with the same identity, on a kept connection. A late second copy of the refusal arrives where the answer is expected, and the identity does not tell the two attempts apart. Only a repetition after a missing adapter used a new connection.

Change: an attempt takes a new connection if an earlier attempt of the request may have reached the same address. A connection that has never carried the identity cannot bring a copy of its answer.

Related paths: completions and calls have an identity for each attempt; a resumed stream's first connection is closed; the product's orders have a connection each. Orders on the users' platform have kept connections and no identity: a fault of its own, not in this commit.

Test: two new cases of TestRefusalOfAnEarlierTryIsNotBelieved, both red before.

--- a/internal/forwarder/repeatedrefusal_test.go
+++ b/internal/forwarder/repeatedrefusal_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
 
@@ -45,27 +46,63 @@
 }
 
 // TestRefusalOfAnEarlierTryIsNotBelieved guards against the refusal of a request that is written once more when the same
-// request has come again on the same connection.
+// request has come again on the same connection, and then runs.
 func TestRefusalOfAnEarlierTryIsNotBelieved(t *testing.T) {
-	is := is.New(t)
-	connections := map[string]int{}
-	upstream := newRawUpstream(t, func(_ int, request *http.Request) string {
-		connections[request.RemoteAddr]++
-		if connections[request.RemoteAddr] > 1 || len(connections) == 1 {
-			return refusalOf(request.Header.Get("X-Request-Id"))
-		}
-		return okAnswer(request)
-	})
-	h := newHarness(forwarder.Config{}, upstream.address())
-	c := newRouted()
-	c.Repeatable, c.MaxAttempts = false, 1
-	c.Reacquire = func(string) (*router.Choice, bool) {
-		return h.router.Pick(router.Need{
-			Service: "depot",
+	full := func(id string) string {
+		return "HTTP/1.1 503 Full\r\nX-Request-Id: " + id + "\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+	}
+	for name, test := range map[string]struct {
+		refusal func(id string) string
+		// upstreams is the number of upstreams; all but the first are always full.
+		upstreams int
+	}{
+		"for lack of an adapter": {
+			refusal:   refusalOf,
+			upstreams: 1,
+		},
+		"full, and has room again": {
+			refusal:   full,
+			upstreams: 1,
+		},
+		"full, and has room again after another one was tried": {
+			refusal:   full,
+			upstreams: 2,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			connections := map[string]int{}
+			first := newRawUpstream(t, func(_ int, request *http.Request) string {
+				connections[request.RemoteAddr]++
+				if connections[request.RemoteAddr] > 1 || len(connections) == 1 {
+					return test.refusal(request.Header.Get("X-Request-Id"))
+				}
+				return okAnswer(request)
+			})
+			addresses := []string{first.address()}
+			for range test.upstreams - 1 {
+				addresses = append(addresses, newRawUpstream(t, func(_ int, request *http.Request) string {
+					return full(request.Header.Get("X-Request-Id"))
+				}).address())
+			}
+			h := newHarness(forwarder.Config{}, addresses...)
+			c := newRouted()
+			c.Repeatable, c.MaxAttempts = false, 1
+			again := func() (*router.Choice, bool) {
+				return h.router.PickUpstream("a", router.Need{
+					Service: "depot",
+				})
+			}
+			c.Reacquire = func(string) (*router.Choice, bool) { return again() }
+			c.Await = func(context.Context) (*router.Choice, error) {
+				choice, _ := again()
+				return choice, nil
+			}
+			got := h.route(t.Context(), t, c)
+			is.Equal(got.refused, nil)
+			is.Equal(got.body, "ok")
+			is.Equal(len(connections), 2)
+			is.Equal(first.requests(), 2)
 		})
 	}
-	got := h.route(t.Context(), t, c)
-	is.Equal(got.refused, nil)
-	is.Equal(got.body, "ok")
-	is.Equal(len(connections), 2)
 }
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -42,6 +43,8 @@
 	// sentAttempts is the number of attempts that may have sent bytes to an upstream. Where RoutedRequest.Await is set, those
 	// that the upstream stated not to have run do not count.
 	sentAttempts int
+	// reached lists the addresses that an attempt may have reached.
+	reached []netip.AddrPort
 	// resent is set once chooseSame was used, which happens at most once per request.
 	resent bool
 	// errorAnswer is an upstream's own error answer (status 500 and up), which is delivered if no other
@@ -211,9 +214,10 @@
 		return unwantedFailure()
 	}
 	a := &attempt{
-		id:            c.Identity,
-		repeated:      r.result.Attempts > 1,
-		newConnection: r.resent, // the engine's first refusal may come once more on the connection that it came on
+		id:       c.Identity,
+		repeated: r.result.Attempts > 1,
+		// The answer to an earlier attempt may come once more on the connection that it came on, with the same identity.
+		newConnection: slices.Contains(r.reached, choice.Address),
 	}
 	r.result.Status = 0
 	r.firstByteAt, r.reportedBegun, r.undelimited = time.Time{}, false, false
@@ -237,8 +241,12 @@
 		failed := f.roundTripFailure(ctx, a, "the upstream did not answer", err)
 		failed.unreached = failed.unsent
 		failed.reused = a.reused
+		if !failed.unreached {
+			r.reached = append(r.reached, choice.Address)
+		}
 		return failed
 	}
+	r.reached = append(r.reached, choice.Address)
 	defer func() { _ = response.Body.Close() }()
 	r.result.Status = response.StatusCode
 	r.undelimited = !delimited(response)
