completer, forwarder: bound the heads and whole answers of upstreams together

Reported by other operators: a faulty engine sends bytes without end, in a head or a body; the machine that called it keeps them, runs out of memory and ends with all its requests (LOST, Fault).

It can happen here, on the product's own interface: heads of answers to reports and orders were bounded at 10 MB, the default of net/http, and parsed lines of three bytes take tens of times that; completions are read whole, 16 MB each, with no bound together.

Completions that are read whole share memory (routing.answers); the first 64 KiB of each are free.

Routed answers and streams are passed on as they come; nothing found.

--- a/internal/app/front.go
+++ b/internal/app/front.go
@@ -214,12 +214,14 @@
 		RetryCapacity:    f.maxSavedRetries,
 	})
 	f.forwarder = forwarder.New(forwarder.Config{
-		Retry:          f.router.TakeRetry,
-		DialTimeout:    dialTimeout,
-		Dialect:        f.config.Dialect,
-		MaxAnswerBytes: routing.Answer,
-		MaxEventBytes:  routing.Event,
-		Log:            f.log,
+		Retry:             f.router.TakeRetry,
+		DialTimeout:       dialTimeout,
+		Dialect:           f.config.Dialect,
+		MaxHeadBytes:      routing.Head,
+		MaxAnswerBytes:    routing.Answer,
+		AnswerMemoryBytes: routing.Answers,
+		MaxEventBytes:     routing.Event,
+		Log:               f.log,
 	})
 	f.server = server.New(server.Config{
 		Routed:          true,
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -23,6 +23,7 @@
 		Interval:     routing.Interval.Duration,
 		Changed:      func(upstream string) { i.router.Update(upstream) },
 		OnCacheEvent: func(upstream, prefix string, stored bool) { i.router.RecordCacheEvent(upstream, prefix, stored) },
+		Log:          i.log,
 	})
 	i.wirePacer()
 	i.router = router.New(router.Config{
@@ -43,12 +44,14 @@
 		RetryFraction:    routing.Retries,
 	})
 	i.forwarder = forwarder.New(forwarder.Config{
-		Pick:           i.router.Pick,
-		PickService:    i.router.PickService,
-		Retry:          i.router.TakeRetry,
-		MaxAnswerBytes: i.settings.Routing.Answer,
-		MaxEventBytes:  i.settings.Routing.Event,
-		Log:            i.log,
+		Pick:              i.router.Pick,
+		PickService:       i.router.PickService,
+		Retry:             i.router.TakeRetry,
+		MaxHeadBytes:      i.settings.Routing.Head,
+		MaxAnswerBytes:    i.settings.Routing.Answer,
+		AnswerMemoryBytes: i.settings.Routing.Answers,
+		MaxEventBytes:     i.settings.Routing.Event,
+		Log:               i.log,
 	})
 	i.server = server.New(server.Config{
 		Snapshot:           i.spreader.Current,
--- a/internal/binder/call.go
+++ b/internal/binder/call.go
@@ -47,7 +47,7 @@
 			Protocols:           &protocols,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     time.Minute,
-		}),
+		}, completer.Config{}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/completer/errors.go
+++ b/internal/completer/errors.go
@@ -11,3 +11,14 @@
 
 // Error implements error.
 func (e *NoStatus) Error() string { return "no status of an answer: " + strconv.Itoa(e.Status) }
+
+// HeadTooLarge reports an answer whose head exceeds the size limit.
+type HeadTooLarge struct {
+	// Bytes is the limit.
+	Bytes int64
+}
+
+// Error implements error.
+func (e *HeadTooLarge) Error() string {
+	return "head of the answer is larger than " + strconv.FormatInt(e.Bytes, 10) + " bytes"
+}
--- a/internal/completer/exchange.go
+++ b/internal/completer/exchange.go
@@ -12,14 +12,16 @@
 type exchange struct {
 	mu sync.Mutex
 	// conn is the connection; nil if it is not one of Wrap.
-	conn writer
+	conn connection
 	// written is closed once the transport has ended to write the request, with err.
 	written chan struct{}
 	err     error
 }
 
-// writer is a connection that records whether a write has failed.
-type writer interface {
+// connection is a connection of Wrap.
+type connection interface {
+	// ExpectAnswer begins to count the head of the next answer.
+	ExpectAnswer()
 	// WriteFailed waits for the end of a write that is under way, and reports whether any has failed.
 	WriteFailed() bool
 }
@@ -30,7 +32,9 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			e.conn, _ = info.Conn.(writer)
+			if e.conn, _ = info.Conn.(connection); e.conn != nil {
+				e.conn.ExpectAnswer()
+			}
 			e.written, e.err = make(chan struct{}), nil
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
--- a/internal/completer/transport.go
+++ b/internal/completer/transport.go
@@ -12,17 +12,20 @@
 }
 
 // New returns a Transport over another one, which must not be used before or beside it.
-func New(base *http.Transport) *Transport {
+func New(base *http.Transport, config Config) *Transport {
+	config = config.withDefaults()
 	if base.DialContext == nil {
 		base.DialContext = (&net.Dialer{}).DialContext
 	}
-	base.DialContext = Wrap(base.DialContext)
+	base.DialContext = Wrap(base.DialContext, config.HeadBytes)
+	base.MaxResponseHeaderBytes = config.HeadBytes + 1 // so that the error is that of Conn
 	return &Transport{
 		Transport: base,
 	}
 }
 
-// RoundTrip implements http.RoundTripper. It returns *NoStatus for an answer without a valid status. The body of an answer
+// RoundTrip implements http.RoundTripper. It returns *NoStatus for an answer without a valid status, and *HeadTooLarge for one whose
+// head exceeds Config.HeadBytes. The body of an answer
 // without a length ends with io.ErrUnexpectedEOF if the connection ended before the request was written completely.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	sent := &exchange{}
--- a/internal/completer/transport_test.go
+++ b/internal/completer/transport_test.go
@@ -100,7 +100,7 @@
 		t.Run(name, func(t *testing.T) {
 			for range 20 {
 				is := is.New(t)
-				transport := completer.New(&http.Transport{})
+				transport := completer.New(&http.Transport{}, completer.Config{})
 				s := server{
 					answer: test.answer,
 					read:   test.read,
@@ -127,7 +127,7 @@
 				answer: "HTTP/1.1 " + status + " X\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n",
 				end:    half,
 			}
-			_, err := s.send(t, completer.New(&http.Transport{}), 0)
+			_, err := s.send(t, completer.New(&http.Transport{}, completer.Config{}), 0)
 			var none *completer.NoStatus
 			is.Equal(errors.As(err, &none), odd) // MIXED
 			is.True(odd || err == nil)
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -59,6 +59,9 @@
 		if failed == nil {
 			return result, nil
 		}
+		if log := f.attemptLog(c.Request, &result, failed); log != nil {
+			log.Info("call.attempt")
+		}
 		mayHaveRun = mayHaveRun || !failed.unsent
 		noRetry := failed.final || c.Once && mayHaveRun
 		if noRetry || result.Attempts >= f.config.MaxAttempts || !f.config.Retry() {
--- a/internal/forwarder/completion.go
+++ b/internal/forwarder/completion.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/buckthorngap/buckthorngap/internal/router"
@@ -51,6 +50,9 @@
 		if failed == nil {
 			return result, nil
 		}
+		if log := f.attemptLog(c.Request, &result, failed); log != nil {
+			log.Info("completion.attempt")
+		}
 		mayHaveRun = mayHaveRun || !failed.unsent
 		if failed.final || result.Attempts >= f.config.MaxAttempts || !f.config.Retry() {
 			return result, refusal(failed, mayHaveRun)
@@ -212,19 +214,18 @@
 	}
 }
 
-// deliverAnswer reads an answer to its end before any of it is delivered, up to the size limit.
+// deliverAnswer reads an answer to its end before any of it is delivered, within the limits of size and memory.
 func (f *Forwarder) deliverAnswer(ctx context.Context, c *Completion, response *http.Response, result *Result) *failure {
-	data, err := io.ReadAll(io.LimitReader(response.Body, f.config.MaxAnswerBytes+1))
+	answer := &wholeAnswer{
+		memory: &f.memory,
+	}
+	defer answer.release()
+	err := answer.read(response.Body, f.config.MaxAnswerBytes)
 	if ended := contextFailure(ctx); ended != nil {
 		return ended
 	}
-	if err == nil && int64(len(data)) > f.config.MaxAnswerBytes {
-		err = &AnswerTooLarge{
-			Bytes: f.config.MaxAnswerBytes,
-		}
-	}
 	if err == nil {
-		err = result.readUsage(data)
+		err = result.readUsage(answer.data)
 	}
 	if err != nil {
 		return &failure{
@@ -234,7 +235,7 @@
 		}
 	}
 	result.FirstTokenAt = f.config.Now()
-	if err := c.WriteAnswer(data); err != nil {
+	if err := c.WriteAnswer(answer.data); err != nil {
 		return callerGone(err)
 	}
 	return nil
--- a/internal/forwarder/config.go
+++ b/internal/forwarder/config.go
@@ -23,6 +23,11 @@
 	MaxResumes int
 	// DialTimeout is the timeout for connecting to an upstream.
 	DialTimeout time.Duration
+	// MaxHeadBytes is the maximum size of an answer's head, in bytes; zero means completer.DefaultHeadBytes.
+	MaxHeadBytes int64
+	// AnswerMemoryBytes limits the memory of all answers together that are read whole before they are delivered, in bytes. The first
+	// 64 KiB of each do not count.
+	AnswerMemoryBytes int64
 	// MaxAnswerBytes is the maximum size of an answer, in bytes. An engine's stream of events
 	// is not limited by it.
 	MaxAnswerBytes int64
@@ -54,8 +59,10 @@
 	DefaultMaxResumes     = 2
 	DefaultDialTimeout    = time.Second
 	DefaultMaxAnswerBytes = 16 << 20
-	DefaultMaxEventBytes  = 1 << 20
-	DefaultMaxIdleConns   = 1024
+	// DefaultAnswerMemoryBytes is the default of AnswerMemoryBytes.
+	DefaultAnswerMemoryBytes = 32 << 20
+	DefaultMaxEventBytes     = 1 << 20
+	DefaultMaxIdleConns      = 1024
 )
 
 func (c Config) withDefaults() Config {
@@ -63,6 +70,7 @@
 	c.MaxResumes = cmp.Or(c.MaxResumes, DefaultMaxResumes)
 	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
 	c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	c.AnswerMemoryBytes = cmp.Or(c.AnswerMemoryBytes, DefaultAnswerMemoryBytes)
 	c.MaxEventBytes = cmp.Or(c.MaxEventBytes, DefaultMaxEventBytes)
 	c.MaxIdleConns = cmp.Or(c.MaxIdleConns, DefaultMaxIdleConns)
 	if c.Dialect.WriteRequest == nil {
--- a/internal/forwarder/errors.go
+++ b/internal/forwarder/errors.go
@@ -18,6 +18,17 @@
 	return "answer is larger than " + strconv.FormatInt(e.Bytes, 10) + " bytes"
 }
 
+// AnswersTooLarge reports that the answers that are read whole take all the memory for them.
+type AnswersTooLarge struct {
+	// Bytes is the memory limit.
+	Bytes int64
+}
+
+// Error implements error.
+func (e *AnswersTooLarge) Error() string {
+	return "answers that are read whole take more than " + strconv.FormatInt(e.Bytes, 10) + " bytes"
+}
+
 // TokenGap reports a stream that skipped tokens.
 type TokenGap struct {
 	// Expected is the number of the next token in order.
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/buckthorngap/buckthorngap/pkg/refuser"
 )
 
@@ -105,3 +107,19 @@
 		f.neutral = false
 	}
 }
+
+// attemptLog returns the log for a failed attempt of a completion or a call, or nil if logging is disabled.
+func (f *Forwarder) attemptLog(request string, result *Result, failed *failure) *logrus.Entry {
+	if f.config.Log == nil {
+		return nil
+	}
+	return f.config.Log.WithFields(logrus.Fields{
+		"request":  request,
+		"upstream": result.Upstream,
+		"attempt":  result.Attempts,
+		"status":   result.Status,
+		"final":    failed.final,
+		"detail":   failed.detail,
+		"cause":    failed.cause,
+	})
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	canceller *canceller
 	// echoes holds the names of upstreams that have echoed a request identity.
 	echoes sync.Map
+	memory answerMemory
 }
 
 // New returns a Forwarder. Abandoned requests are cancelled only while Run runs.
@@ -32,6 +33,9 @@
 		transport: transport,
 		unkept:    unkept,
 		canceller: newCanceller(transport),
+		memory: answerMemory{
+			limit: config.AnswerMemoryBytes,
+		},
 	}
 }
 
--- a/internal/forwarder/transport.go
+++ b/internal/forwarder/transport.go
@@ -11,8 +11,6 @@
 	// writeBuffer and readBuffer are the buffer sizes of a connection, in bytes.
 	writeBuffer = 4 << 10
 	readBuffer  = 4 << 10
-	// maxAnswerHeader is the maximum size of an answer's header, in bytes.
-	maxAnswerHeader = 64 << 10
 )
 
 // newTransport returns an HTTP/1.1 transport without compression, whose connections
@@ -24,12 +22,13 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return completer.New(&http.Transport{
-		DialContext:            d.dial,
-		Protocols:              protocols,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    config.MaxIdleConns,
-		MaxResponseHeaderBytes: maxAnswerHeader,
-		WriteBufferSize:        writeBuffer,
-		ReadBufferSize:         readBuffer,
+		DialContext:         d.dial,
+		Protocols:           protocols,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: config.MaxIdleConns,
+		WriteBufferSize:     writeBuffer,
+		ReadBufferSize:      readBuffer,
+	}, completer.Config{
+		HeadBytes: config.MaxHeadBytes,
 	})
 }
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -60,7 +60,7 @@
 		Transport: completer.New(&http.Transport{
 			DialContext:       connector.New(0).DialContext,
 			DisableKeepAlives: true,
-		}),
+		}, completer.Config{}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/internal/parser/check.go
+++ b/internal/parser/check.go
@@ -139,6 +139,8 @@
 		require("waiting.overnight", s.Waiting.Overnight >= 0 && s.Waiting.Overnight <= s.Waiting.Requests, "must lie between 0 and waiting.requests"),
 		require("routing.running", s.Routing.Running > 0, mustBePositive),
 		require("routing.failures", s.Routing.Failures > 0, mustBePositive),
+		require("routing.head", s.Routing.Head > 0, mustBePositive),
+		require("routing.answers", s.Routing.Answers > 0, mustBePositive),
 		require("routing.answer", s.Routing.Answer > 0, mustBePositive),
 		require("routing.event", s.Routing.Event > 0 && int64(s.Routing.Event) <= s.Routing.Answer, "must be positive and at most routing.answer"),
 		require("routing.retries", s.Routing.Retries >= 0 && s.Routing.Retries <= 1, mustBeFraction),
--- a/internal/parser/default.go
+++ b/internal/parser/default.go
@@ -71,7 +71,9 @@
 			Failures: 5,
 			Cooling:  duration(2 * time.Second),
 			Retries:  0.1,
+			Head:     64 << 10,
 			Answer:   16 << 20,
+			Answers:  32 << 20,
 			Event:    1 << 20,
 		},
 		Loading: Loading{
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -187,8 +187,13 @@
 	Cooling Duration `json:"cooling"`
 	// Retries is the budget of retries as a fraction of requests.
 	Retries float64 `json:"retries"`
+	// Head is the maximum size of the head of an answer from an upstream, in bytes; a short line counts as 64 bytes.
+	Head int64 `json:"head"`
 	// Answer is the maximum size of an answer from an upstream, in bytes.
 	Answer int64 `json:"answer"`
+	// Answers is the maximum memory of all answers together that are read whole before they are passed on, in bytes; the first 64 KiB
+	// of each do not count.
+	Answers int64 `json:"answers"`
 	// Event is the maximum length of an event or line of a stream from an
 	// upstream, in bytes.
 	Event int `json:"event"`
--- a/internal/reporter/poll.go
+++ b/internal/reporter/poll.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/buckthorngap/buckthorngap/internal/completer"
 	"github.com/buckthorngap/buckthorngap/pkg/storer"
 )
 
@@ -37,7 +39,7 @@
 	defer cancel()
 	row := u.row.Load()
 	var report Report
-	if !r.getJSON(ctx, row, "/v1/load", &report) {
+	if !r.getJSON(ctx, u, "/v1/load", &report) {
 		failedReads.Inc()
 		return
 	}
@@ -59,7 +61,7 @@
 			Stored   bool   `json:"stored"`
 		} `json:"events"`
 	}
-	if !r.getJSON(ctx, row, "/v1/cache/events?after="+strconv.FormatUint(u.lastEvent, 10), &events) {
+	if !r.getJSON(ctx, u, "/v1/cache/events?after="+strconv.FormatUint(u.lastEvent, 10), &events) {
 		return
 	}
 	for _, event := range events.Events {
@@ -69,12 +71,14 @@
 }
 
 // getJSON reads a JSON document from an upstream, and reports whether that succeeded.
-func (r *Reporter) getJSON(ctx context.Context, row *storer.Instance, path string, into any) bool {
+func (r *Reporter) getJSON(ctx context.Context, u *upstreamState, path string, into any) bool {
+	row := u.row.Load()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+row.Address.String()+path, http.NoBody)
 	if err != nil {
 		return false
 	}
 	answer, err := r.config.Client.Do(request)
+	r.logRefused(u, err)
 	if err != nil {
 		return false
 	}
@@ -84,3 +88,13 @@
 	}
 	return json.NewDecoder(io.LimitReader(answer.Body, maxReportBytes)).Decode(into) == nil
 }
+
+// logRefused logs that the head of an upstream's answer exceeds the limit, unless that of the answer before did as well.
+func (r *Reporter) logRefused(u *upstreamState, err error) {
+	var tooLarge *completer.HeadTooLarge
+	refused := errors.As(err, &tooLarge)
+	if refused && !u.refused && r.config.Log != nil {
+		r.config.Log.WithField("upstream", u.name).WithError(err).Warn("report.refused")
+	}
+	u.refused = refused
+}
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
 
 	"github.com/buckthorngap/buckthorngap/internal/completer"
 	"github.com/buckthorngap/buckthorngap/internal/connector"
@@ -45,6 +46,8 @@
 	Client *http.Client
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+	// Log receives a line when an upstream's answers begin to exceed the limit of their head; nil disables it.
+	Log logrus.FieldLogger
 }
 
 // The defaults of Config.
@@ -66,7 +69,7 @@
 			Transport: completer.New(&http.Transport{
 				DialContext:         connector.New(0).DialContext,
 				MaxIdleConnsPerHost: 2,
-			}),
+			}, completer.Config{}),
 		}
 	}
 	if c.Members == nil {
--- a/internal/reporter/upstream_state.go
+++ b/internal/reporter/upstream_state.go
@@ -20,6 +20,8 @@
 	polling atomic.Bool
 	// lastEvent is the sequence number of the last cache event that was read. Only the polling worker uses it.
 	lastEvent uint64
+	// refused is set if the head of the last answer exceeded the limit. Only the polling worker uses it.
+	refused bool
 
 	// Reporter.mu guards the fields below.
 	report   Report
--- a/internal/starter/process.go
+++ b/internal/starter/process.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -121,6 +123,25 @@
 	return string(data)
 }
 
+// PeakMemory returns the largest resident memory that the process has had since its latest start, in bytes. It returns *Failed if the
+// process has ended.
+func (p *Process) PeakMemory() (int64, error) {
+	p.mutex.Lock()
+	path := filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid), "status")
+	p.mutex.Unlock()
+	status, err := os.ReadFile(path)
+	if err != nil {
+		return 0, p.failed("memory", err)
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	size, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	kilobytes, err := strconv.ParseInt(size, 10, 64)
+	if err != nil {
+		return 0, p.failed("memory", err)
+	}
+	return kilobytes << 10, nil
+}
+
 func (p *Process) signal(signal os.Signal) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
