server: answer what has not finished at the end of a planned stop

Nothing that comes after the notice is passed on, but a request that its upstream has not answered by the end of the drain was cut with the process, and so was one whose body was not whole. The first request on a connection that was opened before the stop was read and its connection closed without an answer, as net/http does after Shutdown.

Change: at the end of the drain all requests that are left are aborted with a refusal, 503 if none can have run, 502 if it may have. During the drain the server stops accepting and keeping connections instead of Shutdown, so that a late request gets 503 at once. The drain ends once no request is left; it no longer waits for connections on which nothing was sent.

Tests: TestDrainAnswersWhatHasNotFinished and TestDrainRefusesARequestAfterTheNotice, both red before.

--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/buckthorngap/buckthorngap/internal/server"
+	"github.com/buckthorngap/buckthorngap/internal/waiter"
 )
 
 // drainNotice is the notice of the servers in these tests, and drainTime how long they drain after it. A request that is answered
@@ -150,3 +151,53 @@
 	is.True(strings.Contains(body, `"stopping"`))
 	is.True(time.Since(began) < drainTime/2)
 }
+
+// TestDrainRefusesARequestAfterTheNotice guards against a shutdown that sends on a request which arrives too late to finish, or closes
+// its connection without an answer, while another request is still running.
+func TestDrainRefusesARequestAfterTheNotice(t *testing.T) {
+	is := is.New(t)
+	running, finish := context.WithCancel(t.Context())
+	f := newRoutedFixture(t, drainingConfig(), func(http.ResponseWriter, *http.Request) { <-running.Done() })
+	t.Cleanup(finish)
+	late, early := f.dial(t), f.dial(t)
+	_, _ = io.WriteString(early, rawRequest+"crat")
+	is.True(waiter.Poll(t.Context(), time.Millisecond, func() bool { // the server has accepted both connections
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.requests) == 1
+	}))
+	ended := f.drain(t, drainTime)
+	time.Sleep(3 * drainNotice)
+	_, _ = io.WriteString(late, rawRequest+"crat")
+	status, body := readAnswer(late)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"stopping"`))
+	finish()
+	status, _ = readAnswer(early)
+	is.Equal(status, http.StatusOK)
+	is.True(<-ended < drainTime/2)
+	is.Equal(len(f.requests), 1)
+}
+
+// TestDrainAnswersWhatHasNotFinished guards against a shutdown that cuts off, without an answer, a request which an upstream has not
+// answered by the end of the drain, one that must not be repeated among them, and one whose body is not whole.
+func TestDrainAnswersWhatHasNotFinished(t *testing.T) {
+	is := is.New(t)
+	f := newRoutedFixture(t, drainingConfig(), func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	running, reading := f.dial(t), f.dial(t)
+	_, _ = io.WriteString(running, rawRequest+"crat")
+	_, _ = io.WriteString(reading, rawRequest+"cr")
+	is.True(waiter.Poll(t.Context(), time.Millisecond, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.requests) == 1
+	}))
+	ended := f.drain(t, drainNotice)
+	status, body := readAnswer(running)
+	is.Equal(status, http.StatusBadGateway) // it may have run
+	is.True(strings.Contains(body, `"stopping"`))
+	status, body = readAnswer(reading)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"stopping"`))
+	is.True(<-ended < drainTime/2)
+}
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -54,6 +54,20 @@
 	delete(shard.exchanges, e)
 }
 
+// empty reports whether there are no exchanges.
+func (r *registry) empty() bool {
+	for i := range r.shards {
+		shard := &r.shards[i]
+		shard.mu.Lock()
+		count := len(shard.exchanges)
+		shard.mu.Unlock()
+		if count > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // all returns all exchanges.
 func (r *registry) all() []*exchange {
 	var exchanges []*exchange
@@ -102,6 +116,15 @@
 // refusesWaiting reports whether requests that no upstream has are refused because the instance shuts down.
 func (s *Server) refusesWaiting() bool { return s.stopping.Load() && s.config.Routed }
 
+// abortRemaining ends all requests that have not ended when the instance stops. Their callers get an answer that states whether the
+// request may have run, unless they have a part of another one; a connection that closes would state nothing.
+func (s *Server) abortRemaining() {
+	for _, e := range s.active.all() {
+		e.abort(s.stoppingRefusal())
+		_ = e.control.SetReadDeadline(s.config.Now()) // its body may still be read
+	}
+}
+
 // stoppingRefusal returns the refusal of a request for which the instance has no time left.
 func (s *Server) stoppingRefusal() *refuser.Refusal {
 	refusal := newRefusal(refuser.CodeStopping, "the instance is shutting down")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -174,6 +175,9 @@
 	unready         atomic.Bool
 	// stopping is set once the server drains and accepts no further requests.
 	stopping atomic.Bool
+	// accepting ends with stopAccepting, once no further connections are accepted.
+	accepting     context.Context
+	stopAccepting context.CancelFunc
 }
 
 // New returns a Server.
@@ -183,6 +187,7 @@
 		mux:    http.NewServeMux(),
 		active: newRegistry(),
 	}
+	s.accepting, s.stopAccepting = context.WithCancel(context.Background())
 	s.admitCompletion = endpoint.Chain(s.authenticate, s.parse, s.resolve, s.reserve)(s.enqueue)
 	s.admitCall = endpoint.Chain(s.findService, s.authenticate, s.claimCall)(s.pickInstance)
 	s.admitRouted = endpoint.Chain(s.matchRoute, s.authenticate, s.receiveBody, s.resolveRouted, s.reserveRouted)(s.enqueue)
@@ -225,11 +230,18 @@
 
 // Serve serves a listener until Drain or Close. It returns http.ErrServerClosed after them, else the listener's error.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.http.Serve(acceptor.New(listener, acceptor.Config{
+	accepting := acceptor.New(listener, acceptor.Config{
 		MaxConnections: s.config.MaxConnections,
 		HeadMemory:     s.config.HeadMemoryBytes,
 		Log:            s.config.Log,
-	}))
+	})
+	stop := context.AfterFunc(s.accepting, func() { _ = accepting.Close() })
+	defer stop()
+	err := s.http.Serve(accepting)
+	if s.accepting.Err() != nil && errors.Is(err, net.ErrClosed) {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
 // Ready reports whether the load balancer should send requests.
@@ -240,8 +252,8 @@
 
 // Drain shuts the server down gracefully: it reports unready, accepts requests for Config.DrainNotice more and then
 // waits for the running requests to finish until the context ends. If Config.Routed is set, requests that no upstream has
-// after DrainNotice are refused, also those that one refuses later. Drain returns the context's error if some requests had not
-// finished.
+// after DrainNotice are refused, also those that one refuses later. Requests that have not finished by the end of the context are
+// aborted with a refusal, and Drain then returns the context's error.
 func (s *Server) Drain(ctx context.Context) error {
 	s.Unready()
 	waiter.Pause(ctx, s.config.DrainNotice)
@@ -249,8 +261,29 @@
 	if s.refusesWaiting() {
 		s.refuseWaiting()
 	}
-	return s.http.Shutdown(ctx)
+	s.stopAccepting()
+	// Closes idle connections, and each other one with its next answer. http.Server.Shutdown would also close those whose first request
+	// is being read, without an answer.
+	s.http.SetKeepAlivesEnabled(false)
+	finished := waiter.Poll(ctx, drainPoll, func() bool { return s.active.empty() })
+	if !finished {
+		s.abortRemaining()
+	}
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+	defer cancel()
+	err := s.http.Shutdown(closing)
+	if finished {
+		return nil
+	}
+	return cmp.Or(ctx.Err(), err)
 }
 
+const (
+	// drainPoll is the time between two checks whether all requests have ended.
+	drainPoll = 10 * time.Millisecond
+	// answerTime is how long the last answers may take to be written.
+	answerTime = 200 * time.Millisecond
+)
+
 // Close closes the listener and all connections at once. It returns the listener's error.
 func (s *Server) Close() error { return s.http.Close() }
