--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -280,7 +280,7 @@
 
 const (
 	// drainPoll is the time between two checks whether all requests have ended.
-	drainPoll = 10 * time.Millisecond
+	drainPoll = 50 * time.Millisecond
 	// answerTime is how long the last answers may take to be written.
 	answerTime = 200 * time.Millisecond
 )
