review: an upstream's 503 that does not state that the request has not run is delivered as one

Case 12 lets one instance of a plain service run requests and then answer 503 without a statement. The consumer takes it for the promise that the charge has not run and charges again.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,6 +29,8 @@
 	switch os.Args[1] {
 	case "memory":
 		os.Exit(runMemory(record, trouble))
+	case "unmarked":
+		os.Exit(runUnmarked(record, trouble))
 	default:
 		log.Print("no such case")
 		os.Exit(exitNotRun)
