review: a late copy of a report is taken for the answer to an order (LIMIT)

Case 12 plays engines that write 3 in 100 of their answers once more, late. The copy of a report passes for the answer to the order on the same channel, so that an unload which still waits counts as done and an engine is ordered to load a ninth adapter into eight places.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,6 +29,8 @@
 	switch os.Args[1] {
 	case "unmarked":
 		os.Exit(runUnmarked(record, trouble))
+	case "copies":
+		os.Exit(runCopies(record, trouble))
 	default:
 		log.Print("no such case")
 		os.Exit(exitNotRun)
