--- a/review/standin3/holder.go
+++ b/review/standin3/holder.go
@@ -20,7 +20,7 @@
 	// adapterLoad is how long an engine loads an adapter, and reportLag how old the state is that it reports.
 	adapterLoad = 10 * time.Millisecond
 	reportLag   = 100 * time.Millisecond
-	// copyShare is the share of its answers that a faulty engine writes once more, late.
+	// copyShare is the share of all its answers that a faulty engine writes once more, late.
 	copyShare = 0.03
 )
 
@@ -48,8 +48,8 @@
 	writes  uint64
 	history []contents
 	born    int64
-	// ran and broken count the requests that ran and the loads without room.
-	ran, broken int
+	// ran and broken count the requests that ran and the loads without room, answers and copies the answers and their late copies.
+	ran, broken, answers, copies int
 }
 
 // newAdapterEngine starts an engine on a free port of an address.
@@ -150,7 +150,7 @@
 		if _, err := io.WriteString(channel, answer); err != nil {
 			return
 		}
-		if answer != "" && rand.Float64() < copyShare && e.isFaulty() {
+		if e.writesAgain(request.URL.Path == "/buckthorngap/report") {
 			late = answer
 		}
 	}
@@ -287,9 +287,15 @@
 	return ""
 }
 
-// isFaulty reports whether the engine writes answers twice now.
-func (e *adapterEngine) isFaulty() bool {
+// writesAgain counts an answer, and reports whether it is written once more: a report, while the engine is faulty and copies are a
+// share of copyShare of all its answers at most.
+func (e *adapterEngine) writesAgain(report bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faulty()
+	e.answers++
+	if !report || !e.faulty() || float64(e.copies+1) > copyShare*float64(e.answers) {
+		return false
+	}
+	e.copies++
+	return true
 }
