forwarder: do not deliver an upstream's status that promises that nothing ran

Callers take 503, 429, 408 and 421 for the promise that their request has not run, and send it again.

Cause: the rule that an unknown outcome never gets such a status held for our own refusals on the platform's interface alone, and there for 503 and 429. Answers of upstreams passed it by, in handleAnswer, keepErrorAnswer and relay, and in the calls of our own interface, where refusals with an unknown outcome kept 503 and 429 too.

refuser.Outcome.Status now decides for both. An upstream's answer with such a status counts as a failed attempt with an unknown outcome unless the upstream states that this very request did not run. It goes to another upstream if it may run twice, else the caller gets 502 of our own, without seal. A true statement stays a promise; on our own interface it now counts with 429, 408 and 421 as well.

Ruled out: to change the status and keep the rest, as the seal would vouch for an answer that the upstream did not give; a 4xx, as callers do not repeat a request that may be repeated after it.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -117,6 +117,9 @@
 	if failed != nil {
 		return failed
 	}
+	if failed := f.checkPromise(c.Request, choice.Upstream, answer.status); failed != nil {
+		return failed
+	}
 	c.Begin(answer.status, answer.header)
 	return answer.deliver(f.newAnswerLimit(0), c.Write)
 }
--- a/internal/forwarder/completion.go
+++ b/internal/forwarder/completion.go
@@ -189,8 +189,9 @@
 
 // refusedWithoutRunning reports whether the upstream states that it did not run this exact attempt.
 func refusedWithoutRunning(a *attempt, response *http.Response) bool {
-	return response.StatusCode == http.StatusServiceUnavailable &&
-		response.Header.Get(headerNotRun) == "true" && response.Header.Get(headerRequest) == a.id
+	status := response.StatusCode
+	stated := refuser.PromisesNotRun(status) && response.Header.Get(headerNotRun) == "true" || status == http.StatusMisdirectedRequest
+	return stated && response.Header.Get(headerRequest) == a.id
 }
 
 // checkIdentity returns a failure for an answer that carries the identity of another
--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -261,12 +261,13 @@
 }
 
 // handleAnswer delivers an answer, or returns the failure that it represents: the answer
-// to another request, a refusal without running, one without a receipt, or an
-// upstream's own error.
+// to another request, a refusal without running, one without a receipt, a promise that
+// is not known to be true, or an upstream's own error.
 func (r *routing) handleAnswer(ctx context.Context, a *attempt, response *http.Response) *failure {
 	c := r.routed
 	metadata := a.answer
 	status := response.StatusCode
+	statesNotRun := metadata.NotRun || status == http.StatusMisdirectedRequest
 	switch {
 	case metadata.RequestID != "" && metadata.RequestID != c.Identity:
 		a.closeConnection()
@@ -274,25 +275,37 @@
 			code:   refuser.CodeUpstreamFailed,
 			detail: "the upstream sent the answer of another request",
 		}
-	case (metadata.NotRun || status == http.StatusMisdirectedRequest) && metadata.RequestID == "" && a.reused:
+	case statesNotRun && metadata.RequestID == "" && a.reused:
 		a.closeConnection()
 		return &failure{
 			code:   refuser.CodeUpstreamFailed,
 			detail: "the upstream sent a refusal that may be that of an earlier request",
 		}
-	case metadata.NotRun || status == http.StatusMisdirectedRequest:
+	case statesNotRun:
 		return refusedFailure(metadata, response)
 	case status < http.StatusMultipleChoices && !metadata.Receipt:
 		return &failure{
 			code:   refuser.CodeUpstreamFailed,
 			detail: "the answer lacks its receipt",
 		}
+	case refuser.PromisesNotRun(status):
+		return r.replaceAnswer(ctx, response)
 	case status >= http.StatusInternalServerError:
 		return r.keepErrorAnswer(ctx, response)
 	}
 	return r.relay(ctx, response)
 }
 
+// replaceAnswer returns the failure for an answer whose status must not reach the caller. It reads the answer first, so that its
+// connection can be kept.
+func (r *routing) replaceAnswer(ctx context.Context, response *http.Response) *failure {
+	answer, failed := readAnswer(ctx, response)
+	if failed != nil {
+		return failed
+	}
+	return r.forwarder.checkPromise(r.routed.Request, r.result.Upstream, answer.status)
+}
+
 // keepErrorAnswer reads an upstream's own error answer. It delivers the answer if no further attempt
 // is allowed, else keeps it in case no other attempt succeeds.
 func (r *routing) keepErrorAnswer(ctx context.Context, response *http.Response) *failure {
--- a/internal/server/refusal.go
+++ b/internal/server/refusal.go
@@ -136,22 +136,14 @@
 	_ = e.control.Flush()
 }
 
-// statusOf returns the HTTP status of a refusal. For routed requests the status alone states whether the request ran:
-// server errors that did not run get 503, and an unknown outcome never gets 503 or 429, which mean not run.
+// statusOf returns the HTTP status of a refusal. For routed requests the status alone states whether the request ran: server errors
+// that did not run get 503.
 func (e *exchange) statusOf(refusal *refuser.Refusal) int {
 	status := refusal.Status()
-	if !e.routed {
-		return status
-	}
-	meansNotRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-	switch {
-	case refusal.Outcome == refuser.NotRun && status >= http.StatusInternalServerError:
+	if e.routed && refusal.Outcome == refuser.NotRun && status >= http.StatusInternalServerError {
 		return http.StatusServiceUnavailable
-	case refusal.Outcome == refuser.Unknown && meansNotRun:
-		return http.StatusBadGateway
-	default:
-		return status
 	}
+	return status
 }
 
 // finishClaim finishes the claim before the response is written, so that the caller can repeat a call that did not
--- a/pkg/refuser/refusal.go
+++ b/pkg/refuser/refusal.go
@@ -95,10 +95,10 @@
 	CodeQuarantined:    http.StatusServiceUnavailable,
 }
 
-// Status returns the HTTP status of the refusal, which is 500 for an unlisted code.
+// Status returns the HTTP status of the refusal: that of its code, which is 500 for an unlisted one, as far as the outcome allows it.
 func (r *Refusal) Status() int {
 	if status, ok := statuses[r.Code]; ok {
-		return status
+		return r.Outcome.Status(status)
 	}
 	return http.StatusInternalServerError
 }
