forwarder: read and replace an unproved promise where other error answers are kept

replaceAnswer repeated the beginning of keepErrorAnswer and asked for the status once more after its case had. The check now stands in keepErrorAnswer, after the one reading of the answer.

--- a/internal/forwarder/routing.go
+++ b/internal/forwarder/routing.go
@@ -288,31 +288,23 @@
 			code:   refuser.CodeUpstreamFailed,
 			detail: "the answer lacks its receipt",
 		}
-	case refuser.PromisesNotRun(status):
-		return r.replaceAnswer(ctx, response)
-	case status >= http.StatusInternalServerError:
+	case status >= http.StatusInternalServerError || refuser.PromisesNotRun(status):
 		return r.keepErrorAnswer(ctx, response)
 	}
 	return r.relay(ctx, response)
 }
 
-// replaceAnswer returns the failure for an answer whose status must not reach the caller. It reads the answer first, so that its
-// connection can be kept.
-func (r *routing) replaceAnswer(ctx context.Context, response *http.Response) *failure {
-	answer, failed := readAnswer(ctx, response)
-	if failed != nil {
-		return failed
-	}
-	return r.forwarder.checkPromise(r.routed.Request, r.result.Upstream, answer.status)
-}
-
 // keepErrorAnswer reads an upstream's own error answer. It delivers the answer if no further attempt
-// is allowed, else keeps it in case no other attempt succeeds.
+// is allowed, else keeps it in case no other attempt succeeds. An answer with a promise that is not known
+// to be true is neither delivered nor kept.
 func (r *routing) keepErrorAnswer(ctx context.Context, response *http.Response) *failure {
 	answer, failed := readAnswer(ctx, response)
 	if failed != nil {
 		return failed
 	}
+	if failed := r.forwarder.checkPromise(r.routed.Request, r.result.Upstream, answer.status); failed != nil {
+		return failed
+	}
 	if !r.routed.Repeatable || r.sentAttempts+1 >= r.routed.MaxAttempts {
 		return r.deliverBuffered(answer)
 	}
